Add the net library: loop, front, clients, links, settings, host

Cause: the decision core needs sockets, timers and settings around it.

Change: src/net has the event loop, timer service, JSON log, HTTP front, admin pages, HTTP, upstream and source clients, CBOR codec, links and the daemon's host; include/pimentohall/net.h is their header.

No test of it exists in this commit.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -1,15 +1,506 @@
 #ifndef PIMENTOHALL_NET_H_
 #define PIMENTOHALL_NET_H_
 
-// Library `net`: sockets, HTTP, timers and files around the decision core.
+// Library `net`: sockets, HTTP, timers, links and settings around the decision
+// core.
+//
+//   auto settings = net::LoadSettings("daemon.json");
+//   if (!settings) return PrintFaults(settings.error());
+//   net::event_loop loop;
+//   net::timer_service timers(loop);
+//   net::http_front front(loop, {settings->http, settings->limits});
+//   front.on_call = [&](core::call_arrived call, net::http_message request) {
+//     front.Answer(call.call, {200, {}, net::ShareBytes("hello")});
+//   };
+//   if (auto port = front.Listen(); !port) return Report(port.error());
+//   loop.Run();
+//
+// Everything runs on the loop's thread. A task owns its sockets and state; it
+// tells its owner what happened through a handler (a public `on_...` member)
+// and never calls a handler from inside a call that the owner made to it,
+// except where a comment says so. Tasks that need to talk without such nesting
+// use a `mailbox`.
+//
+// Errors of the operating system and of TLS are texts (`std::string`); faults
+// in settings are `config::faults`; a frame that can't be decoded is a
+// `wire_fault`. Durations are `core::duration`.
 
+#include <sigc++/sigc++.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "pimentohall/config.h"
+#include "pimentohall/core.h"
+
+struct event_base;
 
 namespace pimentohall::net {
 
 // The version of this build, for example "0.1.0".
 std::string VersionText();
 
+// ---------------------------------------------------------------------------
+// Loop, timers, mailbox, log.
+
+// The event loop of the process. Timers run before sockets within one turn, so
+// that a process that was paused handles what fell due before any new call.
+class event_loop {
+ public:
+  event_loop();
+  ~event_loop();
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  // CLOCK_BOOTTIME, which counts through suspend.
+  core::instant Now() const;
+  // Runs until `Stop`.
+  void Run();
+  void Stop();
+  // Runs `task` on a later turn of the loop, in the order of posting.
+  void Post(std::function<void()> task);
+  // Calls `handler` on the loop when the process gets `signal_number`.
+  void OnSignal(int signal_number, std::function<void()> handler);
+  event_base* Base() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// Timers to which parts of the program subscribe. A slot may subscribe and
+// disconnect timers, its own included.
+class timer_service {
+ public:
+  explicit timer_service(event_loop& loop);
+  ~timer_service();
+
+  // Calls `slot` every `period`, first after one period. Periods that were
+  // missed (the process was paused) are not made up for.
+  sigc::connection Every(core::duration period, sigc::slot<void()> slot);
+  // Calls `slot` once, after `delay`.
+  sigc::connection After(core::duration delay, sigc::slot<void()> slot);
+  // Runs what is due at `now`, in order of due time. The loop calls this.
+  void RunDue(core::instant now);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// Passes messages from one task to another: `Post` queues, and the handler
+// gets the messages in order on a later turn of the loop. Messages still
+// queued when the mailbox is destroyed are dropped.
+template <typename letter>
+class mailbox {
+ public:
+  mailbox(event_loop& loop, std::function<void(letter)> handler)
+      : loop_(loop),
+        handler_(
+            std::make_shared<std::function<void(letter)>>(std::move(handler))) {
+  }
+  void Post(letter message) {
+    std::weak_ptr<std::function<void(letter)>> handler = handler_;
+    loop_.Post([handler, message = std::move(message)]() mutable {
+      if (auto alive = handler.lock()) (*alive)(std::move(message));
+    });
+  }
+
+ private:
+  event_loop& loop_;
+  std::shared_ptr<std::function<void(letter)>> handler_;
+};
+
+// Writes one JSON line to standard error: time, level, message, fields.
+void Log(core::log_level level, std::string_view message,
+         const std::vector<std::pair<std::string, std::string>>& fields = {});
+// Records below `level` are dropped. The default is kInfo.
+void SetLogLevel(core::log_level level);
+// The line that `Log` writes, without the line feed. Bytes that are not UTF-8
+// are replaced.
+std::string FormatLogLine(
+    std::string_view time, core::log_level level, std::string_view message,
+    const std::vector<std::pair<std::string, std::string>>& fields);
+
+// ---------------------------------------------------------------------------
+// Settings.
+
+struct endpoint {
+  std::string address = "127.0.0.1";  // An IP number.
+  int port = 0;                       // 0: chosen by the system.
+  friend bool operator==(const endpoint& a, const endpoint& b);
+};
+
+// PEM files. `ca` is used on links only.
+struct tls_files {
+  std::string certificate;
+  std::string key;
+  std::string ca;
+  bool IsSet() const { return !certificate.empty(); }
+  friend bool operator==(const tls_files& a, const tls_files& b);
+};
+
+// Budgets of section 12 of the design; settings can only lower them.
+struct limit_settings {
+  std::int64_t body_bytes = 1024 * 1024;
+  std::int64_t header_bytes = 16 * 1024;
+  std::int64_t calls_in_flight = 4096;
+  std::int64_t links = 256;
+  std::int64_t idle_connection_ms = 60000;
+  friend bool operator==(const limit_settings& a, const limit_settings& b);
+};
+
+struct source_settings {
+  std::vector<endpoint> addresses;
+  std::string prefix = "pimentohall";
+  friend bool operator==(const source_settings& a, const source_settings& b);
+};
+
+struct daemon_settings {
+  std::string vm;
+  std::string zone;
+  endpoint http;
+  endpoint link;
+  endpoint admin;
+  source_settings source;
+  std::vector<core::bootstrap_peer> bootstrap_peers;
+  tls_files http_tls;
+  tls_files link_tls;
+  core::log_level level = core::log_level::kInfo;
+  limit_settings limits;
+};
+
+// Parses settings (docs/settings.md) and returns every fault found.
+tl::expected<daemon_settings, config::faults> ParseSettings(
+    std::string_view bytes, const std::string& document);
+tl::expected<daemon_settings, config::faults> LoadSettings(
+    const std::string& path);
+// "document:line: field: problem; fix"
+std::string FaultText(const config::fault& fault);
+
+// ---------------------------------------------------------------------------
+// HTTP values.
+
+using header = std::pair<std::string, std::string>;
+using header_list = std::vector<header>;
+// A body; shared so that the loop to the own VM and retries don't copy it.
+using shared_bytes = std::shared_ptr<const std::string>;
+shared_bytes ShareBytes(std::string bytes);
+
+// Headers and body of a caller's request on its way to an upstream, without
+// credentials, hop-by-hop headers and X-Pimentohall-* headers.
+struct http_message {
+  header_list headers;
+  shared_bytes body;
+};
+
+// An answer with its body whole.
+struct http_answer {
+  int status = 0;
+  header_list headers;
+  shared_bytes body;
+};
+
+// True for header names that concern one connection only (RFC 9110, 7.6.1).
+bool IsHopByHop(std::string_view name);
+// The value of the first header of this name (any case), or empty.
+std::string_view FindHeader(const header_list& headers, std::string_view name);
+// The answer to a call that the engine ended without an upstream's answer.
+http_answer RefusalAnswer(const core::answer_call& action);
+
+// ---------------------------------------------------------------------------
+// Wire format of links.
+
+struct wire_fault {
+  std::string problem;
+};
+
+inline constexpr std::size_t kMaxFrameBytes = 2 * 1024 * 1024;
+
+// One attempt on its way to the egress daemon.
+struct forward_frame {
+  core::attempt_id attempt = 0;
+  core::call_info info;
+  http_message request;
+};
+struct cancel_frame {
+  core::attempt_id attempt = 0;
+};
+// The outcome; headers and body are set with kAnswered only.
+struct answer_frame {
+  core::attempt_id attempt = 0;
+  core::outcome_kind outcome = core::outcome_kind::kMayHaveRun;
+  core::reason why = core::reason::kNone;
+  core::upstream_load load;
+  http_answer answer;
+};
+using call_frame = std::variant<forward_frame, cancel_frame, answer_frame>;
+
+// Frames are CBOR arrays: a type number, then the fields in the order of the
+// struct. Decoding accepts exactly what encoding makes: no missing, extra or
+// out-of-range element.
+std::string EncodeMessage(const core::message& message);
+tl::expected<core::message, wire_fault> DecodeMessage(std::string_view bytes);
+std::string EncodeFrame(const call_frame& frame);
+tl::expected<call_frame, wire_fault> DecodeFrame(std::string_view bytes);
+
+// ---------------------------------------------------------------------------
+// HTTP front for callers.
+
+struct http_front_options {
+  endpoint listen;
+  limit_settings limits;
+  tls_files tls;
+};
+
+class http_front {
+ public:
+  http_front(event_loop& loop, http_front_options options);
+  ~http_front();
+
+  // Starts to accept; returns the port.
+  tl::expected<int, std::string> Listen();
+  // Ends a call. Does nothing if the caller has left.
+  void Answer(core::call_id call, const http_answer& answer);
+  // Refuses new connections; connections close after their running call.
+  // Then calls `done` (possibly at once) when no call is pending and every
+  // answer is written.
+  void Stop(std::function<void()> done);
+  // Reads the certificate files again; new connections use them. On error the
+  // old ones stay in use.
+  tl::expected<void, std::string> ReloadCertificates();
+  // Calls that are not answered yet.
+  std::size_t Pending() const;
+
+  // A caller's request, whole. `Answer` may be called from inside.
+  std::function<void(core::call_arrived, http_message)> on_call;
+  // The caller closed its connection before the answer.
+  std::function<void(core::call_id)> on_cancelled;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// Read-only HTTP pages for operators. A page gets the query parameters.
+using page_query = std::vector<std::pair<std::string, std::string>>;
+class admin_server {
+ public:
+  admin_server(event_loop& loop, endpoint listen);
+  ~admin_server();
+  void AddPage(const std::string& path,
+               std::function<http_answer(const page_query&)> page);
+  tl::expected<int, std::string> Listen();
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// ---------------------------------------------------------------------------
+// HTTP client, upstream client and source client.
+
+enum class http_failure {
+  kNotSent,  // No byte of the request was written to a connection.
+  kLost,     // A byte was written and no whole answer came.
+  kTimeout,  // A byte was written and the time passed without a whole answer.
+};
+
+struct http_request {
+  endpoint target;
+  std::string method = "GET";
+  std::string path = "/";
+  header_list headers;
+  shared_bytes body;
+  core::duration timeout{0};
+};
+
+// Pooled keep-alive HTTP/1.1 connections. Each request is written at most
+// once: there is no retry and no second connection for it.
+class http_client {
+ public:
+  using request_id = std::uint64_t;
+  using handler = std::function<void(tl::expected<http_answer, http_failure>)>;
+
+  // At most `connections_per_target` connections are open to one target; a
+  // request beyond that fails with kNotSent.
+  http_client(event_loop& loop, timer_service& timers,
+              int connections_per_target = 100);
+  ~http_client();
+
+  // `done` is called once, never from inside `Start`, unless the request is
+  // cancelled first.
+  request_id Start(http_request request, handler done);
+  // Closes the request's connection.
+  void Cancel(request_id request);
+  // Closes idle connections to targets that are not in `targets`.
+  void KeepOnly(const std::vector<endpoint>& targets);
+  std::size_t IdleConnections() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// An upstream to probe. Empty paths are not probed.
+struct probe_target {
+  std::string upstream;
+  endpoint address;
+  std::string health_path;
+  std::string load_path;
+};
+
+// Runs the calls that the engine starts on upstreams.
+class upstream_client {
+ public:
+  upstream_client(event_loop& loop, timer_service& timers);
+  ~upstream_client();
+
+  void Start(const core::start_upstream_call& action,
+             const http_message& request);
+  void Cancel(const std::string& vm, core::attempt_id attempt);
+  // Probes these upstreams once a second and forgets all others.
+  void Watch(const std::vector<probe_target>& targets);
+
+  std::function<void(core::upstream_answered, http_answer)> on_answered;
+  std::function<void(core::upstream_failed)> on_failed;
+  std::function<void(core::upstream_report)> on_report;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// Reads keys of the configuration source (Consul KV, blocking queries).
+class source_client {
+ public:
+  source_client(event_loop& loop, timer_service& timers,
+                source_settings settings);
+  ~source_client();
+
+  // One HTTP read. A failed read moves on to the next address for the reads
+  // that follow; it isn't repeated unless the engine asks again.
+  void Read(const core::read_source& action);
+
+  std::function<void(core::source_value)> on_value;
+  std::function<void(core::source_failed)> on_failed;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// ---------------------------------------------------------------------------
+// Links between daemons.
+
+struct link_options {
+  std::string vm;
+  endpoint listen;
+  tls_files tls;
+  std::int64_t max_links = 256;
+  core::duration open_timeout = std::chrono::seconds(2);
+  // Control links carry a heartbeat every 2 s; after three lost ones the link
+  // counts as dead.
+  core::duration control_silence = std::chrono::seconds(7);
+  core::duration call_idle = std::chrono::seconds(60);
+};
+
+// Control and call links to all peers. There is one logical control link for
+// each peer, made of one connection or, after simultaneous dials, two; it goes
+// down when the last one closes. Call connections are dialled by the ingress
+// daemon at its first forward.
+class link_service {
+ public:
+  link_service(event_loop& loop, timer_service& timers, link_options options);
+  ~link_service();
+
+  tl::expected<int, std::string> Listen();
+  tl::expected<void, std::string> ReloadCertificates();
+
+  // Gives `on_link_up` or `on_link_down`. If the link is up already,
+  // `on_link_up` is called and no connection made.
+  void Open(const core::open_link& action);
+  // Closes the control connections of the peer; gives `on_link_down` if the
+  // link was up.
+  void Close(const std::string& vm);
+  // Drops the message if the link is down.
+  void Send(const std::string& vm, const core::message& message);
+
+  // Where call connections to `vm` go.
+  void SetAddress(const std::string& vm, const endpoint& address);
+  void Forward(const std::string& vm, const forward_frame& frame);
+  void CancelForward(const std::string& vm, core::attempt_id attempt);
+  // Answers a call that came with `on_call`. Dropped if its connection is gone.
+  void AnswerPeer(const std::string& vm, const answer_frame& frame);
+
+  std::function<void(core::link_up)> on_link_up;
+  std::function<void(core::link_down)> on_link_down;
+  std::function<void(core::message_received)> on_message;
+  std::function<void(core::peer_call, http_message)> on_call;
+  std::function<void(core::peer_cancel)> on_cancel;
+  std::function<void(core::peer_answer, http_answer)> on_answer;
+  std::function<void(core::forward_failed)> on_forward_failed;
+  // A call connection closed with calls in flight. All call connections with
+  // that peer, in both directions, are closed by then: the engine drops the
+  // peer's calls and its own forwards together.
+  std::function<void(core::call_link_down)> on_call_link_down;
+
+  // Links that were closed because of a bad frame.
+  std::uint64_t BadFrames() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// ---------------------------------------------------------------------------
+// The daemon's host.
+
+// What the host needs of the decision core; the daemon passes `core::engine`,
+// tests pass a script.
+class decision_engine {
+ public:
+  virtual ~decision_engine() = default;
+  virtual core::actions Handle(const core::event& event, core::instant now) = 0;
+  virtual core::instant NextWake() const = 0;
+  virtual bool IsReady() const = 0;
+  virtual std::shared_ptr<const config::config_set> Set() const = 0;
+  virtual core::counters Counters() const = 0;
+  virtual std::string Dump(core::instant now) const = 0;
+  virtual std::string Explain(const core::call_arrived& call,
+                              core::instant now) const = 0;
+};
+
+// The whole daemon around an engine: feeds events, carries out actions, keeps
+// bodies.
+class daemon_host {
+ public:
+  daemon_host(event_loop& loop, daemon_settings settings,
+              std::unique_ptr<decision_engine> engine);
+  ~daemon_host();
+
+  struct ports {
+    int http = 0;
+    int link = 0;
+    int admin = 0;
+  };
+  tl::expected<ports, std::string> Listen();
+  // Starts a planned stop; the loop is stopped when all calls are finished.
+  void BeginStop();
+  void ReloadCertificates();
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
 }  // namespace pimentohall::net
 
 #endif  // PIMENTOHALL_NET_H_
--- /dev/null
+++ b/src/net/event_loop.cc
@@ -0,0 +1,92 @@
+#include <event2/event.h>
+#include <event2/thread.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include <csignal>
+#include <deque>
+
+#include "net/raii.h"
+#include "pimentohall/net.h"
+
+namespace pimentohall::net {
+namespace {
+
+// Timers have priority 0, everything else the default, the middle of two.
+constexpr int kPriorities = 2;
+
+struct signal_entry {
+  event_ptr watch;
+  std::function<void()> handler;
+};
+
+}  // namespace
+
+class event_loop::impl {
+ public:
+  impl() {
+    // A peer that closes while we write must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    base_.reset(event_base_new());
+    event_base_priority_init(base_.get(), kPriorities);
+    wake_.reset(event_new(base_.get(), -1, 0, &impl::RunPosted, this));
+  }
+
+  void Post(std::function<void()> task) {
+    posted_.push_back(std::move(task));
+    event_active(wake_.get(), EV_TIMEOUT, 0);
+  }
+
+  void OnSignal(int signal_number, std::function<void()> handler) {
+    auto entry = std::make_unique<signal_entry>();
+    entry->handler = std::move(handler);
+    entry->watch.reset(evsignal_new(base_.get(), signal_number,
+                                    &impl::OnSignalEvent, entry.get()));
+    event_add(entry->watch.get(), nullptr);
+    signals_.push_back(std::move(entry));
+  }
+
+  event_base* Base() const { return base_.get(); }
+
+ private:
+  static void RunPosted(evutil_socket_t, short, void* self) {
+    // Only what is queued now: a task that posts another one must let the
+    // sockets have their turn.
+    auto tasks = std::move(static_cast<impl*>(self)->posted_);
+    static_cast<impl*>(self)->posted_.clear();
+    for (auto& task : tasks) task();
+  }
+  static void OnSignalEvent(evutil_socket_t, short, void* entry) {
+    static_cast<signal_entry*>(entry)->handler();
+  }
+
+  event_base_ptr base_;
+  event_ptr wake_;
+  std::deque<std::function<void()>> posted_;
+  std::vector<std::unique_ptr<signal_entry>> signals_;
+};
+
+event_loop::event_loop() : impl_(std::make_unique<impl>()) {}
+event_loop::~event_loop() = default;
+
+core::instant event_loop::Now() const {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return core::instant(std::chrono::duration_cast<core::duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+void event_loop::Run() {
+  event_base_loop(impl_->Base(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+void event_loop::Stop() { event_base_loopbreak(impl_->Base()); }
+void event_loop::Post(std::function<void()> task) {
+  impl_->Post(std::move(task));
+}
+void event_loop::OnSignal(int signal_number, std::function<void()> handler) {
+  impl_->OnSignal(signal_number, std::move(handler));
+}
+event_base* event_loop::Base() const { return impl_->Base(); }
+
+}  // namespace pimentohall::net
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,369 @@
+// Pooled HTTP/1.1 connections on evhttp's client.
+//
+// evhttp reports a failed request without saying whether any of it was
+// written, and a caller's call may only run twice if nothing was. So each
+// connection counts the bytes that its socket took: a callback on the output
+// buffer sees what is removed from it. evhttp also drains that buffer when it
+// resets a connection; by then it has closed the socket or disabled writing,
+// and such a removal isn't counted. A byte counts as written once the kernel
+// has it, even if the other end never reads it.
+//
+// What else libevent 2.1.12 needs here:
+//
+// - Retries stay at their default of 0, and no connection ever has a second
+//   request queued: evhttp would connect again for it.
+// - A connection goes back to the pool only if it is open and its input buffer
+//   is empty; evhttp would take left-over bytes for the next answer. On taking
+//   it out, the socket is asked once more whether the other end has closed it.
+// - evhttp_connection_free isn't called from evhttp's own callbacks; dead
+//   connections are freed on the next turn of the loop.
+
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+#include "net/raii.h"
+#include "net/request_check.h"
+#include "net/socket.h"
+#include "pimentohall/net.h"
+
+namespace pimentohall::net {
+namespace {
+
+using connection_ptr =
+    std::unique_ptr<evhttp_connection, free_with<evhttp_connection_free>>;
+
+// Longer than any deadline, so that evhttp's own timeouts never decide.
+constexpr int kNeverSeconds = 3600;
+constexpr ev_ssize_t kMaxAnswerHeaderBytes = 16 * 1024;
+constexpr ev_ssize_t kMaxAnswerBodyBytes = 1024 * 1024;
+
+std::optional<evhttp_cmd_type> MethodType(const std::string& name) {
+  static const std::unordered_map<std::string, evhttp_cmd_type> kTypes = {
+      {"GET", EVHTTP_REQ_GET},       {"POST", EVHTTP_REQ_POST},
+      {"HEAD", EVHTTP_REQ_HEAD},     {"PUT", EVHTTP_REQ_PUT},
+      {"DELETE", EVHTTP_REQ_DELETE}, {"OPTIONS", EVHTTP_REQ_OPTIONS},
+      {"PATCH", EVHTTP_REQ_PATCH}};
+  const auto found = kTypes.find(name);
+  if (found == kTypes.end()) return std::nullopt;
+  return found->second;
+}
+
+bool IsIpNumber(const std::string& address) {
+  sockaddr_storage parsed{};
+  int size = sizeof(parsed);
+  return evutil_parse_sockaddr_port(
+             address.c_str(), reinterpret_cast<sockaddr*>(&parsed), &size) == 0;
+}
+
+std::string PoolKey(const endpoint& target) {
+  return target.address + " " + std::to_string(target.port);
+}
+
+struct connection {
+  connection_ptr http;
+  std::size_t written = 0;  // Bytes of the running request.
+  bool dead = false;
+  core::instant idle_since;
+};
+
+bool IsOpen(const connection& conn) {
+  bufferevent* stream = evhttp_connection_get_bufferevent(conn.http.get());
+  return bufferevent_getfd(stream) >= 0 &&
+         evbuffer_get_length(bufferevent_get_input(stream)) == 0;
+}
+
+// True if the other end has neither closed the connection nor sent anything.
+bool IsQuiet(const connection& conn) {
+  if (!IsOpen(conn)) return false;
+  bufferevent* stream = evhttp_connection_get_bufferevent(conn.http.get());
+  char byte = 0;
+  return recv(bufferevent_getfd(stream), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <
+             0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void CountWritten(evbuffer* /*output*/, const evbuffer_cb_info* info,
+                  void* argument) {
+  auto* conn = static_cast<connection*>(argument);
+  bufferevent* stream = evhttp_connection_get_bufferevent(conn->http.get());
+  const bool by_socket = bufferevent_getfd(stream) >= 0 &&
+                         (bufferevent_get_enabled(stream) & EV_WRITE) != 0;
+  if (by_socket) conn->written += info->n_deleted;
+}
+
+}  // namespace
+
+class http_client::impl {
+ public:
+  impl(event_loop& loop, timer_service& timers, int connections_per_target)
+      : loop_(loop),
+        timers_(timers),
+        connections_per_target_(connections_per_target) {
+    bury_ = event_ptr(evtimer_new(
+        loop.Base(),
+        [](evutil_socket_t, short, void* self) {
+          static_cast<impl*>(self)->dead_.clear();
+        },
+        this));
+  }
+
+  ~impl() {
+    for (auto& [id, running] : exchanges_) running->timer.disconnect();
+  }
+
+  request_id Start(http_request request, handler done) {
+    const request_id id = ++last_id_;
+    auto running = std::make_unique<exchange>();
+    running->client = this;
+    running->id = id;
+    running->done = std::move(done);
+    running->key = PoolKey(request.target);
+    running->timer =
+        timers_.After(std::max(request.timeout, core::duration(0)),
+                      sigc::slot<void()>([this, id] { OnTimeout(id); }));
+    exchange* started = running.get();
+    exchanges_[id] = std::move(running);
+    if (!Write(started, request)) {
+      loop_.Post([this, id, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired())
+          Finish(id, tl::unexpected(http_failure::kNotSent));
+      });
+    }
+    return id;
+  }
+
+  void Cancel(request_id id) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) return;
+    Abandon(found->second.get());
+    Forget(found);
+  }
+
+  void KeepOnly(const std::vector<endpoint>& targets) {
+    for (auto& [key, pool] : pools_) {
+      const bool kept = std::any_of(
+          targets.begin(), targets.end(),
+          [&key = key](const endpoint& e) { return PoolKey(e) == key; });
+      if (kept) continue;
+      for (auto& conn : pool.idle) Bury(std::move(conn));
+      pool.idle.clear();
+    }
+  }
+
+  std::size_t IdleConnections() const {
+    std::size_t count = 0;
+    for (const auto& [key, pool] : pools_) count += pool.idle.size();
+    return count;
+  }
+
+ private:
+  struct exchange {
+    impl* client = nullptr;
+    request_id id = 0;
+    handler done;
+    std::string key;
+    std::unique_ptr<connection> conn;
+    evhttp_request* request = nullptr;
+    sigc::connection timer;
+  };
+  using exchange_map =
+      std::unordered_map<request_id, std::unique_ptr<exchange>>;
+  struct target_pool {
+    std::vector<std::unique_ptr<connection>> idle;  // Last used last.
+    int running = 0;
+  };
+
+  std::unique_ptr<connection> TakeConnection(target_pool* pool,
+                                             const endpoint& target) {
+    while (!pool->idle.empty()) {
+      std::unique_ptr<connection> conn = std::move(pool->idle.back());
+      pool->idle.pop_back();
+      if (IsQuiet(*conn)) return conn;
+      Bury(std::move(conn));
+    }
+    auto conn = std::make_unique<connection>();
+    conn->http.reset(evhttp_connection_base_new(
+        loop_.Base(), nullptr, target.address.c_str(),
+        static_cast<ev_uint16_t>(target.port)));
+    evhttp_connection_set_timeout(conn->http.get(), kNeverSeconds);
+    evhttp_connection_set_max_headers_size(conn->http.get(),
+                                           kMaxAnswerHeaderBytes);
+    evhttp_connection_set_max_body_size(conn->http.get(), kMaxAnswerBodyBytes);
+    bufferevent* stream = evhttp_connection_get_bufferevent(conn->http.get());
+    evbuffer_add_cb(bufferevent_get_output(stream), &CountWritten, conn.get());
+    return conn;
+  }
+
+  bool Write(exchange* running, const http_request& request) {
+    const std::optional<evhttp_cmd_type> type = MethodType(request.method);
+    if (!type || !IsIpNumber(request.target.address)) return false;
+    target_pool& pool = pools_[running->key];
+    if (pool.running >= connections_per_target_) return false;
+    ++pool.running;
+    running->conn = TakeConnection(&pool, request.target);
+    running->conn->written = 0;
+    evhttp_request* made = evhttp_request_new(&impl::OnDone, running);
+    FillRequest(made, request);
+    running->request = made;
+    evhttp_connection* http = running->conn->http.get();
+    // On failure evhttp has freed the request.
+    if (evhttp_make_request(http, made, *type, request.path.c_str()) != 0) {
+      running->request = nullptr;
+      running->conn->dead = true;
+      return false;
+    }
+    if (running->request == nullptr) return true;  // Failed at once; reported.
+    DisableNagle(bufferevent_getfd(evhttp_connection_get_bufferevent(http)));
+    return true;
+  }
+
+  static void FillRequest(evhttp_request* made, const http_request& request) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(made);
+    bool has_host = false;
+    for (const auto& [name, value] : request.headers) {
+      has_host = has_host || evutil_ascii_strcasecmp(name.c_str(), "Host") == 0;
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+    if (!has_host) {
+      const std::string host =
+          request.target.address + ":" + std::to_string(request.target.port);
+      evhttp_add_header(headers, "Host", host.c_str());
+    }
+    if (!request.body || request.body->empty()) return;
+    evbuffer_add_reference(
+        evhttp_request_get_output_buffer(made), request.body->data(),
+        request.body->size(),
+        [](const void*, std::size_t, void* owner) {
+          delete static_cast<shared_bytes*>(owner);
+        },
+        new shared_bytes(request.body));
+  }
+
+  // evhttp calls this once for each request: with null when it failed.
+  static void OnDone(evhttp_request* request, void* argument) {
+    auto* running = static_cast<exchange*>(argument);
+    running->request = nullptr;
+    running->client->Take(running, request);
+  }
+
+  void Take(exchange* running, evhttp_request* request) {
+    if (request == nullptr || request->response_code == 0) {
+      running->conn->dead = true;
+      return FinishLater(
+          running->id,
+          tl::unexpected(running->conn->written == 0 ? http_failure::kNotSent
+                                                     : http_failure::kLost));
+    }
+    http_answer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    const evkeyvalq* queue = evhttp_request_get_input_headers(request);
+    for (const evkeyval* entry = queue->tqh_first; entry != nullptr;
+         entry = entry->next.tqe_next) {
+      answer.headers.emplace_back(entry->key, entry->value);
+    }
+    if (FindAnswerProblem(answer.status, answer.headers) != nullptr) {
+      running->conn->dead = true;
+      return FinishLater(running->id, tl::unexpected(http_failure::kLost));
+    }
+    evbuffer* buffer = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, body.data(), body.size());
+    answer.body = ShareBytes(std::move(body));
+    FinishLater(running->id, std::move(answer));
+  }
+
+  // Handlers may start and cancel requests, which evhttp doesn't allow for the
+  // connection whose callback is running; a failure may even come from inside
+  // `Start`.
+  void FinishLater(request_id id, tl::expected<http_answer, http_failure> end) {
+    finished_.emplace_back(id, std::move(end));
+    if (finished_.size() > 1) return;
+    loop_.Post([this, alive = std::weak_ptr<int>(alive_)] {
+      if (alive.expired()) return;
+      auto batch = std::move(finished_);
+      finished_.clear();
+      for (auto& [done, result] : batch) Finish(done, std::move(result));
+    });
+  }
+
+  void Finish(request_id id, tl::expected<http_answer, http_failure> end) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) return;
+    const handler done = std::move(found->second->done);
+    Forget(found);
+    done(std::move(end));
+  }
+
+  void OnTimeout(request_id id) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end() || found->second->request == nullptr) return;
+    exchange* running = found->second.get();
+    const bool sent = running->conn->written != 0;
+    Abandon(running);
+    Finish(id, tl::unexpected(sent ? http_failure::kTimeout
+                                   : http_failure::kNotSent));
+  }
+
+  // Stops evhttp from working on the request; its callback won't come.
+  static void Abandon(exchange* running) {
+    if (running->request == nullptr) return;
+    running->conn->dead = true;
+    evhttp_cancel_request(std::exchange(running->request, nullptr));
+  }
+
+  void Forget(exchange_map::iterator found) {
+    exchange& running = *found->second;
+    running.timer.disconnect();
+    if (running.conn) {
+      target_pool& pool = pools_[running.key];
+      --pool.running;
+      if (!running.conn->dead && IsOpen(*running.conn)) {
+        pool.idle.push_back(std::move(running.conn));
+      } else {
+        Bury(std::move(running.conn));
+      }
+    }
+    exchanges_.erase(found);
+  }
+
+  void Bury(std::unique_ptr<connection> conn) {
+    dead_.push_back(std::move(conn));
+    event_active(bury_.get(), EV_TIMEOUT, 0);
+  }
+
+  event_loop& loop_;
+  timer_service& timers_;
+  const int connections_per_target_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  event_ptr bury_;
+  request_id last_id_ = 0;
+  std::map<std::string, target_pool> pools_;
+  exchange_map exchanges_;
+  std::vector<std::pair<request_id, tl::expected<http_answer, http_failure>>>
+      finished_;
+  std::vector<std::unique_ptr<connection>> dead_;
+};
+
+http_client::http_client(event_loop& loop, timer_service& timers,
+                         int connections_per_target)
+    : impl_(std::make_unique<impl>(loop, timers, connections_per_target)) {}
+http_client::~http_client() = default;
+
+http_client::request_id http_client::Start(http_request request, handler done) {
+  return impl_->Start(std::move(request), std::move(done));
+}
+void http_client::Cancel(request_id request) { impl_->Cancel(request); }
+void http_client::KeepOnly(const std::vector<endpoint>& targets) {
+  impl_->KeepOnly(targets);
+}
+std::size_t http_client::IdleConnections() const {
+  return impl_->IdleConnections();
+}
+
+}  // namespace pimentohall::net
--- /dev/null
+++ b/src/net/metrics.h
@@ -0,0 +1,47 @@
+#ifndef PIMENTOHALL_NET_METRICS_H_
+#define PIMENTOHALL_NET_METRICS_H_
+
+// The engine's counters and a few of the host's in the Prometheus text format.
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <string>
+#include <vector>
+
+#include "pimentohall/core.h"
+
+namespace pimentohall::net {
+
+struct host_gauges {
+  bool ready = false;
+  std::uint64_t config_version = 0;
+  std::size_t calls_pending = 0;
+  std::uint64_t bad_frames = 0;
+};
+
+class metrics {
+ public:
+  metrics();
+  // Takes the values over and renders them.
+  std::string Render(const core::counters& counters, const host_gauges& gauges);
+
+ private:
+  struct counter_row {
+    std::uint64_t core::counters::*field;
+    prometheus::Counter* counter;
+  };
+  prometheus::Gauge* AddGauge(const char* name, const char* help);
+
+  prometheus::Registry registry_;
+  std::vector<counter_row> rows_;
+  prometheus::Gauge* ready_;
+  prometheus::Gauge* config_version_;
+  prometheus::Gauge* calls_pending_;
+  prometheus::Gauge* bad_frames_;
+};
+
+}  // namespace pimentohall::net
+
+#endif  // PIMENTOHALL_NET_METRICS_H_
--- /dev/null
+++ b/src/net/request_check.cc
@@ -0,0 +1,220 @@
+#include "net/request_check.h"
+
+#include <event2/util.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace pimentohall::net {
+namespace {
+
+constexpr std::string_view kOurPrefix = "X-Pimentohall-";
+constexpr int kMaxDepth = 64;  // Calls are up to 24 deep by design.
+
+bool SameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         evutil_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+bool IsTokenCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
+bool IsFieldValue(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    const auto byte = static_cast<unsigned char>(c);
+    return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+  });
+}
+
+int CountHeader(const header_list& headers, std::string_view name) {
+  return static_cast<int>(std::count_if(
+      headers.begin(), headers.end(),
+      [name](const header& h) { return SameName(h.first, name); }));
+}
+
+// An upstream may resolve "..", which would lead out of the route that the
+// contract allows, so such paths are refused in every spelling.
+bool HasDotSegment(std::string_view path) {
+  std::string plain;
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    if (path[i] == '?') break;
+    if (path[i] == '%' && i + 2 < path.size() && path[i + 1] == '2' &&
+        (path[i + 2] == 'e' || path[i + 2] == 'E')) {
+      plain.push_back('.');
+      i += 2;
+    } else {
+      plain.push_back(path[i] == '\\' ? '/' : path[i]);
+    }
+  }
+  plain.push_back('/');
+  return plain.find("/./") != std::string::npos ||
+         plain.find("/../") != std::string::npos;
+}
+
+const char* FindHeaderProblem(const header_list& headers) {
+  for (const auto& [name, value] : headers) {
+    if (!IsToken(name)) return "bad header name";
+    if (!IsFieldValue(value)) return "bad header value";
+  }
+  return nullptr;
+}
+
+const char* FindLengthProblem(const header_list& headers) {
+  const int lengths = CountHeader(headers, "Content-Length");
+  const int codings = CountHeader(headers, "Transfer-Encoding");
+  if (lengths > 1) return "several Content-Length headers";
+  if (lengths + codings > 1) return "Content-Length with Transfer-Encoding";
+  if (codings == 1 &&
+      !SameName(FindHeader(headers, "Transfer-Encoding"), "chunked")) {
+    return "unknown Transfer-Encoding";
+  }
+  if (lengths == 1 && !ParseDigits(FindHeader(headers, "Content-Length"))) {
+    return "bad Content-Length";
+  }
+  return nullptr;
+}
+
+bool MayHaveBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+bool HasBody(const header_list& headers) {
+  if (CountHeader(headers, "Transfer-Encoding") != 0) return true;
+  const std::string_view length = FindHeader(headers, "Content-Length");
+  return !length.empty() && length.find_first_not_of('0') != std::string::npos;
+}
+
+bool IsOurs(std::string_view name) {
+  return name.size() >= kOurPrefix.size() &&
+         SameName(name.substr(0, kOurPrefix.size()), kOurPrefix);
+}
+
+// True if the comma-separated list `value` holds `name`.
+bool ListHolds(std::string_view value, std::string_view name) {
+  while (!value.empty()) {
+    const std::size_t comma = std::min(value.find(','), value.size());
+    std::string_view item = value.substr(0, comma);
+    value.remove_prefix(std::min(comma + 1, value.size()));
+    while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
+      item.remove_suffix(1);
+    }
+    if (SameName(item, name)) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+std::optional<std::int64_t> ParseDigits(std::string_view text) {
+  constexpr std::size_t kMaxDigits = 18;  // Fits in 63 bits.
+  if (text.empty() || text.size() > kMaxDigits) return std::nullopt;
+  std::int64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      text.front() == '-') {
+    return std::nullopt;
+  }
+  return number;
+}
+
+const char* FindRequestProblem(const request_head& head) {
+  if (head.target.empty() || head.target.front() != '/') {
+    return "the request target must be a path";
+  }
+  const bool visible =
+      std::all_of(head.target.begin(), head.target.end(),
+                  [](char c) { return c > 0x20 && c < 0x7f && c != '#'; });
+  if (!visible) return "bad character in the path";
+  if (HasDotSegment(head.target)) return "dot segment in the path";
+  if (const char* problem = FindHeaderProblem(head.headers)) return problem;
+  if (const char* problem = FindLengthProblem(head.headers)) return problem;
+  const int hosts = CountHeader(head.headers, "Host");
+  if (hosts > 1 || (hosts == 0 && head.minor_version >= 1)) {
+    return "exactly one Host header is needed";
+  }
+  for (const char* single : {"Authorization", "Idempotency-Key"}) {
+    if (CountHeader(head.headers, single) > 1) return "repeated header";
+  }
+  if (!MayHaveBody(head.method) && HasBody(head.headers)) {
+    return "the method has no body";
+  }
+  return nullptr;
+}
+
+const char* FindAnswerProblem(int status, const header_list& headers) {
+  // evhttp takes an interim answer other than 100 for the final one and leaves
+  // the final one in the buffer, where the next call would find it.
+  if (status < 200) return "interim answer";
+  if (const char* problem = FindHeaderProblem(headers)) return problem;
+  return FindLengthProblem(headers);
+}
+
+tl::expected<call_options, const char*> ParseCallOptions(
+    const header_list& headers) {
+  call_options options;
+  const std::string_view deadline =
+      FindHeader(headers, "X-Pimentohall-Deadline-Ms");
+  if (!deadline.empty()) {
+    options.deadline_ms = ParseDigits(deadline);
+    if (!options.deadline_ms) return tl::make_unexpected("bad deadline");
+  }
+  const std::string_view name = FindHeader(headers, "X-Pimentohall-Class");
+  if (name == "interactive") {
+    options.traffic_class = config::route_class::kInteractive;
+  } else if (name == "overnight") {
+    options.traffic_class = config::route_class::kOvernight;
+  } else if (!name.empty()) {
+    return tl::make_unexpected("bad class");
+  }
+  const std::string_view depth = FindHeader(headers, "X-Pimentohall-Depth");
+  if (!depth.empty()) {
+    const auto number = ParseDigits(depth);
+    if (!number || *number > kMaxDepth) return tl::make_unexpected("bad depth");
+    options.depth = static_cast<int>(*number);
+  }
+  const std::string_view retry = FindHeader(headers, "X-Pimentohall-Retry");
+  if (!retry.empty() && retry != "true" && retry != "false") {
+    return tl::make_unexpected("bad retry mark");
+  }
+  options.retry = retry == "true";
+  return options;
+}
+
+header_list ForwardedHeaders(const header_list& headers) {
+  header_list kept;
+  const std::string_view connection = FindHeader(headers, "Connection");
+  for (const header& entry : headers) {
+    if (IsHopByHop(entry.first) || IsOurs(entry.first)) continue;
+    if (SameName(entry.first, "Authorization")) continue;
+    if (SameName(entry.first, "Content-Length")) continue;
+    if (SameName(entry.first, "Expect")) continue;
+    if (ListHolds(connection, entry.first)) continue;
+    kept.push_back(entry);
+  }
+  return kept;
+}
+
+header_list AnswerHeaders(const header_list& headers) {
+  header_list kept;
+  const std::string_view connection = FindHeader(headers, "Connection");
+  for (const header& entry : headers) {
+    if (IsHopByHop(entry.first) || IsOurs(entry.first)) continue;
+    if (ListHolds(connection, entry.first)) continue;
+    kept.push_back(entry);
+  }
+  return kept;
+}
+
+}  // namespace pimentohall::net
--- /dev/null
+++ b/src/net/request_check.h
@@ -0,0 +1,54 @@
+#ifndef PIMENTOHALL_NET_REQUEST_CHECK_H_
+#define PIMENTOHALL_NET_REQUEST_CHECK_H_
+
+// Checks that evhttp (libevent 2.1.12) leaves out, on requests and answers.
+//
+// evhttp takes the first of several Content-Length headers, prefers
+// Transfer-Encoding over Content-Length, treats an unknown transfer coding as
+// "no body", accepts a sign in a length, header names with spaces and bare CR
+// in values, and takes the body of a GET for the next request. Each of these
+// lets two HTTP parsers disagree on where a message ends.
+
+#include <string>
+
+#include "pimentohall/net.h"
+
+namespace pimentohall::net {
+
+struct request_head {
+  std::string method;
+  std::string target;
+  int minor_version = 1;
+  header_list headers;
+};
+
+// Why the request is refused with status 400, or null.
+const char* FindRequestProblem(const request_head& head);
+
+// Why the length of an answer is ambiguous, or null.
+const char* FindAnswerProblem(int status, const header_list& headers);
+
+// The X-Pimentohall-* headers of a caller, typed.
+struct call_options {
+  std::optional<std::int64_t> deadline_ms;
+  std::optional<config::route_class> traffic_class;
+  bool retry = false;
+  int depth = 0;
+};
+tl::expected<call_options, const char*> ParseCallOptions(
+    const header_list& headers);
+
+// What goes on to the upstream: no credentials, no X-Pimentohall-*, no
+// hop-by-hop headers or headers that Connection names, no length.
+header_list ForwardedHeaders(const header_list& headers);
+
+// What goes back to the caller. An upstream can't set X-Pimentohall-* headers:
+// its word must not pass for ours on whether a call ran.
+header_list AnswerHeaders(const header_list& headers);
+
+// A decimal number without sign, of at most 18 digits.
+std::optional<std::int64_t> ParseDigits(std::string_view text);
+
+}  // namespace pimentohall::net
+
+#endif  // PIMENTOHALL_NET_REQUEST_CHECK_H_
--- /dev/null
+++ b/src/net/socket.cc
@@ -0,0 +1,66 @@
+#include "net/socket.h"
+
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace pimentohall::net {
+namespace {
+
+constexpr int kBacklog = 1024;
+
+std::string ErrorText(const endpoint& where, const char* step) {
+  return where.address + ":" + std::to_string(where.port) + ": " + step + ": " +
+         std::strerror(errno);
+}
+
+}  // namespace
+
+void DisableNagle(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+tl::expected<int, std::string> OpenListeningSocket(const endpoint& where) {
+  sockaddr_storage address{};
+  int size = sizeof(address);
+  auto* const generic = reinterpret_cast<sockaddr*>(&address);
+  if (evutil_parse_sockaddr_port(where.address.c_str(), generic, &size) != 0) {
+    return tl::unexpected(where.address + ": not an IP address");
+  }
+  if (address.ss_family == AF_INET) {
+    reinterpret_cast<sockaddr_in*>(&address)->sin_port =
+        htons(static_cast<std::uint16_t>(where.port));
+  } else {
+    reinterpret_cast<sockaddr_in6*>(&address)->sin6_port =
+        htons(static_cast<std::uint16_t>(where.port));
+  }
+  const int fd =
+      socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return tl::unexpected(ErrorText(where, "socket"));
+  evutil_make_listen_socket_reuseable(fd);
+  DisableNagle(fd);
+  if (bind(fd, generic, static_cast<socklen_t>(size)) != 0 ||
+      listen(fd, kBacklog) != 0) {
+    std::string problem = ErrorText(where, "listen");
+    close(fd);
+    return tl::unexpected(std::move(problem));
+  }
+  return fd;
+}
+
+int BoundPort(int socket) {
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  return address.ss_family == AF_INET
+             ? ntohs(reinterpret_cast<sockaddr_in*>(&address)->sin_port)
+             : ntohs(reinterpret_cast<sockaddr_in6*>(&address)->sin6_port);
+}
+
+}  // namespace pimentohall::net
--- /dev/null
+++ b/src/net/upstream_client.cc
@@ -0,0 +1,208 @@
+// Calls to upstreams, and probes of their health and load pages.
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "net/request_check.h"
+#include "pimentohall/net.h"
+
+namespace pimentohall::net {
+namespace {
+
+constexpr auto kProbePeriod = std::chrono::seconds(1);
+// A probe that takes longer is a failed one; it ends before the next starts.
+constexpr auto kProbeTimeout = std::chrono::milliseconds(900);
+constexpr int kConnectionsPerTarget = 100;
+
+const char* ClassName(config::route_class traffic_class) {
+  return traffic_class == config::route_class::kOvernight ? "overnight"
+                                                          : "interactive";
+}
+
+header_list UpstreamHeaders(const core::call_info& info,
+                            const header_list& from_caller) {
+  header_list headers = from_caller;
+  const auto remaining_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(info.remaining);
+  headers.emplace_back("X-Pimentohall-Deadline-Ms",
+                       std::to_string(remaining_ms.count()));
+  headers.emplace_back("X-Pimentohall-Class", ClassName(info.traffic_class));
+  headers.emplace_back("X-Pimentohall-Depth", std::to_string(info.depth + 1));
+  if (info.retry) headers.emplace_back("X-Pimentohall-Retry", "true");
+  if (!info.organisation.empty()) {
+    headers.emplace_back("X-Pimentohall-Organisation", info.organisation);
+  }
+  return headers;
+}
+
+core::upstream_failure ConvertFailure(http_failure failure) {
+  switch (failure) {
+    case http_failure::kNotSent:
+      return core::upstream_failure::kNotSent;
+    case http_failure::kLost:
+      return core::upstream_failure::kLost;
+    case http_failure::kTimeout:
+      return core::upstream_failure::kTimeout;
+  }
+  return core::upstream_failure::kLost;
+}
+
+bool IsShed(const http_answer& answer) {
+  return answer.status == 429 ||
+         (answer.status == 503 &&
+          !FindHeader(answer.headers, "Retry-After").empty());
+}
+
+// Fills load and drain mark from {"load": 0..1, "draining": bool}. A body of
+// another form leaves them as they are.
+void ReadLoad(const std::string& body, core::upstream_report* report) {
+  const auto parsed = nlohmann::json::parse(body, nullptr, false);
+  if (!parsed.is_object()) return;
+  const auto load = parsed.find("load");
+  if (load != parsed.end() && load->is_number()) {
+    const double value = load->get<double>();
+    if (value >= 0 && value <= 1) report->load = value;
+  }
+  const auto draining = parsed.find("draining");
+  if (draining != parsed.end() && draining->is_boolean()) {
+    report->draining = draining->get<bool>();
+  }
+}
+
+}  // namespace
+
+class upstream_client::impl {
+ public:
+  impl(event_loop& loop, timer_service& timers, upstream_client* owner)
+      : owner_(owner),
+        calls_(loop, timers, kConnectionsPerTarget),
+        probes_(loop, timers, 2) {
+    probe_timer_ =
+        timers.Every(kProbePeriod, sigc::slot<void()>([this] { Probe(); }));
+  }
+  ~impl() { probe_timer_.disconnect(); }
+
+  void Start(const core::start_upstream_call& action,
+             const http_message& message) {
+    http_request request;
+    request.target = {action.upstream.address, action.upstream.port};
+    request.method = action.info.method;
+    request.path = action.info.path;
+    request.headers = UpstreamHeaders(action.info, message.headers);
+    request.body = message.body;
+    request.timeout = action.info.remaining;
+    const call_key key(action.vm, action.attempt);
+    running_[key] = calls_.Start(std::move(request), [this, key](auto end) {
+      running_.erase(key);
+      Report(key, std::move(end));
+    });
+  }
+
+  void Cancel(const std::string& vm, core::attempt_id attempt) {
+    const auto found = running_.find(call_key(vm, attempt));
+    if (found == running_.end()) return;
+    calls_.Cancel(found->second);
+    running_.erase(found);
+  }
+
+  void Watch(const std::vector<probe_target>& targets) {
+    std::map<std::string, probe> before = std::move(watched_);
+    watched_.clear();
+    std::vector<endpoint> addresses;
+    for (const probe_target& target : targets) {
+      probe& watched = watched_[target.upstream];
+      const auto known = before.find(target.upstream);
+      if (known != before.end()) watched = known->second;
+      watched.target = target;
+      watched.report.upstream = target.upstream;
+      addresses.push_back(target.address);
+    }
+    calls_.KeepOnly(addresses);
+    probes_.KeepOnly(addresses);
+  }
+
+ private:
+  using call_key = std::pair<std::string, core::attempt_id>;
+  struct probe {
+    probe_target target;
+    core::upstream_report report;
+    int waiting = 0;  // Probes without a result yet.
+  };
+
+  void Report(const call_key& key,
+              tl::expected<http_answer, http_failure> end) {
+    if (!end) {
+      owner_->on_failed({key.first, key.second, ConvertFailure(end.error())});
+      return;
+    }
+    core::upstream_answered answered;
+    answered.vm = key.first;
+    answered.attempt = key.second;
+    answered.http_status = end->status;
+    answered.shed = IsShed(*end);
+    answered.draining =
+        FindHeader(end->headers, "X-Upstream-Draining") == "true";
+    end->headers = AnswerHeaders(end->headers);
+    owner_->on_answered(std::move(answered), std::move(*end));
+  }
+
+  void Probe() {
+    for (auto& [name, watched] : watched_) {
+      if (watched.waiting != 0) continue;
+      StartProbe(&watched, watched.target.health_path, &impl::OnHealth);
+      StartProbe(&watched, watched.target.load_path, &impl::OnLoad);
+    }
+  }
+
+  using result_step = void (*)(probe*,
+                               const tl::expected<http_answer, http_failure>&);
+
+  void StartProbe(probe* watched, const std::string& path, result_step step) {
+    if (path.empty()) return;
+    ++watched->waiting;
+    http_request request;
+    request.target = watched->target.address;
+    request.path = path;
+    request.timeout = kProbeTimeout;
+    const std::string name = watched->report.upstream;
+    probes_.Start(std::move(request), [this, name, step](const auto& end) {
+      const auto found = watched_.find(name);
+      if (found == watched_.end() || found->second.waiting == 0) return;
+      step(&found->second, end);
+      if (--found->second.waiting == 0) owner_->on_report(found->second.report);
+    });
+  }
+
+  static void OnHealth(probe* watched,
+                       const tl::expected<http_answer, http_failure>& end) {
+    watched->report.healthy = end && end->status / 100 == 2;
+  }
+  static void OnLoad(probe* watched,
+                     const tl::expected<http_answer, http_failure>& end) {
+    if (end && end->status == 200) ReadLoad(*end->body, &watched->report);
+  }
+
+  upstream_client* const owner_;
+  http_client calls_;
+  http_client probes_;
+  std::map<call_key, http_client::request_id> running_;
+  std::map<std::string, probe> watched_;
+  sigc::connection probe_timer_;
+};
+
+upstream_client::upstream_client(event_loop& loop, timer_service& timers)
+    : impl_(std::make_unique<impl>(loop, timers, this)) {}
+upstream_client::~upstream_client() = default;
+
+void upstream_client::Start(const core::start_upstream_call& action,
+                            const http_message& request) {
+  impl_->Start(action, request);
+}
+void upstream_client::Cancel(const std::string& vm, core::attempt_id attempt) {
+  impl_->Cancel(vm, attempt);
+}
+void upstream_client::Watch(const std::vector<probe_target>& targets) {
+  impl_->Watch(targets);
+}
+
+}  // namespace pimentohall::net
