Parse, validate and assemble configuration sets

Cause: the library `config` had only its header and the digests, so no other module could be tested with a real set.

Services() and Organisations() now return a shared_list, which sets share by pointer, instead of a vector; range-for, size() and [] work as before.

Conclusion: other modules can build on the header.

--- /dev/null
+++ b/src/config/assemble.cc
@@ -0,0 +1,229 @@
+#include <algorithm>
+
+#include "config/part_checks.h"
+#include "config/set_data.h"
+#include "pimentohall/config.h"
+
+namespace pimentohall::config {
+namespace {
+
+using set_data = set_builder::set_data;
+using part_bytes = std::map<std::string, std::string>;
+
+void Append(faults* out, faults more) {
+  std::move(more.begin(), more.end(), std::back_inserter(*out));
+}
+
+// The name that a part of this part name must carry, "" for zones.
+std::string NameInside(const std::string& part_name) {
+  const std::size_t slash = part_name.find('/');
+  return slash == std::string::npos ? "" : part_name.substr(slash + 1);
+}
+
+// Parses with `parse` and checks that the name inside is that of the part.
+template <typename T>
+tl::expected<shared_part, faults> ParseNamed(
+    const part_ref& ref, std::string_view bytes,
+    tl::expected<T, faults> (*parse)(std::string_view, const std::string&)) {
+  auto parsed = parse(bytes, ref.name);
+  if (!parsed) return tl::unexpected(std::move(parsed.error()));
+  if (parsed->name != NameInside(ref.name)) {
+    const auto root = ParseJsonText(bytes);
+    const json_value* value = root ? FindValue(*root, "/name") : nullptr;
+    return tl::unexpected(
+        faults{{ref.name, value == nullptr ? 0 : value->line, "/name",
+                "name \"" + parsed->name + "\" differs from the part name",
+                "use \"" + NameInside(ref.name) + "\" or rename the part"}});
+  }
+  return std::make_shared<const parsed_part>(
+      parsed_part{ref, std::move(*parsed)});
+}
+
+tl::expected<shared_part, faults> ParsePart(const part_ref& ref,
+                                            std::string_view bytes) {
+  if (ref.name == "zones") {
+    auto zones = ParseZones(bytes, ref.name);
+    if (!zones) return tl::unexpected(std::move(zones.error()));
+    return std::make_shared<const parsed_part>(
+        parsed_part{ref, std::move(*zones)});
+  }
+  if (ref.name.rfind("services/", 0) == 0) {
+    return ParseNamed<service>(ref, bytes, ParseService);
+  }
+  return ParseNamed<organisation>(ref, bytes, ParseOrganisation);
+}
+
+tl::expected<shared_part, faults> VerifyAndParse(const part_ref& ref,
+                                                 const part_bytes& parts) {
+  const auto refuse = [&ref](std::string problem, std::string fix) {
+    return tl::unexpected(
+        faults{{ref.name, 0, "", std::move(problem), std::move(fix)}});
+  };
+  const auto found = parts.find(ref.sha256);
+  if (found == parts.end()) {
+    return refuse("part is missing", "publish or fetch the part");
+  }
+  const std::string& bytes = found->second;
+  if (bytes.size() != ref.bytes) {
+    return refuse("part has " + std::to_string(bytes.size()) +
+                      " bytes, the manifest says " + std::to_string(ref.bytes),
+                  "build the manifest again from the parts");
+  }
+  if (Sha256Hex(bytes) != ref.sha256) {
+    return refuse("part does not have the digest that the manifest says",
+                  "publish the part again under its own digest");
+  }
+  return ParsePart(ref, bytes);
+}
+
+// The part of `data` that equals `ref`, or null.
+shared_part FindPart(const set_data& data, const part_ref& ref) {
+  const auto found =
+      std::lower_bound(data.parts.begin(), data.parts.end(), ref.name,
+                       [](const shared_part& part, const std::string& name) {
+                         return part->ref.name < name;
+                       });
+  if (found == data.parts.end() || !((*found)->ref == ref)) return nullptr;
+  return *found;
+}
+
+// Collects the parts in name order: from `previous` where it has them,
+// otherwise from `bytes`.
+faults CollectParts(const manifest& manifest, const part_bytes& bytes,
+                    const set_data* previous, set_data* out) {
+  faults found;
+  out->parts.reserve(manifest.parts.size());
+  for (const part_ref& ref : manifest.parts) {
+    shared_part part = previous == nullptr ? nullptr : FindPart(*previous, ref);
+    if (part == nullptr) {
+      auto parsed = VerifyAndParse(ref, bytes);
+      if (!parsed) {
+        Append(&found, std::move(parsed.error()));
+        continue;
+      }
+      part = std::move(*parsed);
+    }
+    out->parts.push_back(std::move(part));
+  }
+  std::sort(out->parts.begin(), out->parts.end(),
+            [](const shared_part& a, const shared_part& b) {
+              return a->ref.name < b->ref.name;
+            });
+  return found;
+}
+
+// The parts with content `T`; each shares the ownership of its part.
+template <typename T>
+std::vector<std::shared_ptr<const T>> ContentOf(
+    const std::vector<shared_part>& parts) {
+  std::vector<std::shared_ptr<const T>> list;
+  for (const shared_part& part : parts) {
+    const T* content = std::get_if<T>(&part->content);
+    if (content != nullptr) list.emplace_back(part, content);
+  }
+  return list;
+}
+
+void FillZones(set_data* data, cross_faults* out) {
+  auto zones = ContentOf<std::vector<zone>>(data->parts);
+  if (zones.empty()) {
+    out->Add("manifest", "/parts", "no part \"zones\"", "add the part");
+    data->zones = std::make_shared<std::vector<zone>>();
+    return;
+  }
+  data->zones = zones.front();
+  bool any_in = false;
+  for (const zone& zone : *data->zones) {
+    data->zones_by_name.emplace(zone.name, &zone);
+    any_in = any_in || zone.state == zone_state::kIn;
+  }
+  if (!any_in) {
+    out->Add("zones", "/zones", "every zone is out of service",
+             "set the state of at least one zone to \"in\"");
+  }
+}
+
+// True if both lists hold the same objects.
+template <typename T>
+bool IsSameList(const shared_list<T>& a, const shared_list<T>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const T& x, const T& y) { return &x == &y; });
+}
+
+// True if the tables of `a` also serve `b`.
+bool HaveSameKeys(const shared_list<organisation>& a,
+                  const shared_list<organisation>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const organisation& x, const organisation& y) {
+                      return &x == &y || (x.name == y.name && x.keys == y.keys);
+                    });
+}
+
+void FillServices(const set_data* previous, set_data* data, cross_faults* out) {
+  data->services = shared_list<service>(ContentOf<service>(data->parts));
+  if (data->services.empty()) {
+    out->Add("manifest", "/parts", "no service",
+             "add at least one part services/NAME");
+  }
+  if (previous != nullptr && IsSameList(data->services, previous->services)) {
+    data->by_service = previous->by_service;
+  } else {
+    data->by_service = BuildServiceTables(data->services, out);
+  }
+}
+
+void FillOrganisations(const set_data* previous, set_data* data,
+                       cross_faults* out) {
+  data->organisations =
+      shared_list<organisation>(ContentOf<organisation>(data->parts));
+  if (previous != nullptr &&
+      HaveSameKeys(data->organisations, previous->organisations)) {
+    data->by_organisation = previous->by_organisation;
+  } else {
+    data->by_organisation = BuildOrganisationTables(data->organisations, out);
+  }
+}
+
+// Contracts that `previous` has with the same routes were checked before.
+void CheckContracts(const set_data* previous, const set_data& data,
+                    cross_faults* out) {
+  const bool same_routes =
+      previous != nullptr && previous->by_service == data.by_service;
+  for (const shared_part& part : data.parts) {
+    const auto* organisation =
+        std::get_if<config::organisation>(&part->content);
+    if (organisation == nullptr) continue;
+    if (same_routes && FindPart(*previous, part->ref) == part) continue;
+    CheckContract(*organisation, *data.by_service, out);
+  }
+}
+
+}  // namespace
+
+tl::expected<config_set, faults> AssembleSet(
+    const manifest& manifest, const std::map<std::string, std::string>& parts) {
+  return AssembleSet(manifest, parts, nullptr);
+}
+
+tl::expected<config_set, faults> AssembleSet(
+    const manifest& manifest, const std::map<std::string, std::string>& parts,
+    const config_set* previous) {
+  const set_data* before =
+      previous == nullptr ? nullptr : &set_builder::Data(*previous);
+  auto data = std::make_shared<set_data>();
+  data->version = manifest.version;
+  data->digest = manifest.digest;
+  // Faults between parts are looked for only among sound parts: a part that
+  // could not be read would seem to lack everything that others refer to.
+  faults in_parts = CollectParts(manifest, parts, before, data.get());
+  if (!in_parts.empty()) return tl::unexpected(std::move(in_parts));
+  cross_faults between(&manifest, &parts);
+  FillZones(data.get(), &between);
+  FillServices(before, data.get(), &between);
+  FillOrganisations(before, data.get(), &between);
+  CheckContracts(before, *data, &between);
+  if (!between.Empty()) return tl::unexpected(between.Take());
+  return set_builder::Make(std::move(data));
+}
+
+}  // namespace pimentohall::config
--- /dev/null
+++ b/src/config/part_checks.h
@@ -0,0 +1,60 @@
+#ifndef PIMENTOHALL_CONFIG_PART_CHECKS_H_
+#define PIMENTOHALL_CONFIG_PART_CHECKS_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "config/document_reader.h"
+#include "config/set_data.h"
+#include "pimentohall/config.h"
+
+namespace pimentohall::config {
+
+// Collects faults between parts. Parsed parts hold no lines, so the line of a
+// fault is looked up in the part's bytes; only refused sets pay for it.
+class cross_faults {
+ public:
+  // Both must outlive this object.
+  cross_faults(const manifest* manifest,
+               const std::map<std::string, std::string>* parts)
+      : manifest_(manifest), parts_(parts) {}
+
+  // A fault at `field` of the part `part`. The line is 0 if the bytes of the
+  // part are not at hand.
+  void Add(const std::string& part, const std::string& field,
+           std::string problem, std::string fix);
+  // The same for the element `text` of the list of texts at `field`.
+  void AddAtText(const std::string& part, const std::string& field,
+                 const std::string& text, std::string problem, std::string fix);
+
+  bool Empty() const { return faults_.empty(); }
+  faults Take() { return std::move(faults_); }
+
+ private:
+  const json_value* Tree(const std::string& part);
+
+  const manifest* manifest_;
+  const std::map<std::string, std::string>* parts_;
+  std::unordered_map<std::string, std::optional<json_value>> trees_;
+  faults faults_;
+};
+
+// Builds the tables and reports names, route matches and addresses that two
+// services share.
+std::shared_ptr<const service_tables> BuildServiceTables(
+    const shared_list<service>& services, cross_faults* out);
+
+// Builds the tables and reports key digests that two organisations share.
+std::shared_ptr<const organisation_tables> BuildOrganisationTables(
+    const shared_list<organisation>& organisations, cross_faults* out);
+
+// Reports contract routes that no service has.
+void CheckContract(const organisation& organisation,
+                   const service_tables& tables, cross_faults* out);
+
+}  // namespace pimentohall::config
+
+#endif  // PIMENTOHALL_CONFIG_PART_CHECKS_H_
