Test the net library and parse settings with config's JSON reader

Cause: the library had no tests, and settings had a JSON reader of their own.

Change: unit tests for the timer service, codec, settings, HTTP front, upstream and source clients and links, on loopback with ports chosen by the system. Settings use config's reader, which knows lines and repeated fields. Link dials keep websocketpp's extension step: with enable_extensions off its client refuses every answer.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -182,8 +182,6 @@
     std::string_view bytes, const std::string& document);
 tl::expected<daemon_settings, config::faults> LoadSettings(
     const std::string& path);
-// "document:line: field: problem; fix"
-std::string FaultText(const config::fault& fault);
 
 // ---------------------------------------------------------------------------
 // HTTP values.
--- a/src/net/request_check.cc
+++ b/src/net/request_check.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "config/syntax.h"
+
 namespace pimentohall::net {
 namespace {
 
@@ -40,25 +42,6 @@
       [name](const header& h) { return SameName(h.first, name); }));
 }
 
-// An upstream may resolve "..", which would lead out of the route that the
-// contract allows, so such paths are refused in every spelling.
-bool HasDotSegment(std::string_view path) {
-  std::string plain;
-  for (std::size_t i = 0; i < path.size(); ++i) {
-    if (path[i] == '?') break;
-    if (path[i] == '%' && i + 2 < path.size() && path[i + 1] == '2' &&
-        (path[i + 2] == 'e' || path[i + 2] == 'E')) {
-      plain.push_back('.');
-      i += 2;
-    } else {
-      plain.push_back(path[i] == '\\' ? '/' : path[i]);
-    }
-  }
-  plain.push_back('/');
-  return plain.find("/./") != std::string::npos ||
-         plain.find("/../") != std::string::npos;
-}
-
 const char* FindHeaderProblem(const header_list& headers) {
   for (const auto& [name, value] : headers) {
     if (!IsToken(name)) return "bad header name";
@@ -137,7 +120,11 @@
       std::all_of(head.target.begin(), head.target.end(),
                   [](char c) { return c > 0x20 && c < 0x7f && c != '#'; });
   if (!visible) return "bad character in the path";
-  if (HasDotSegment(head.target)) return "dot segment in the path";
+  // An upstream may resolve "..", which would lead out of the route that the
+  // contract allows.
+  const std::string_view target = head.target;
+  if (config::HasDotSegment(target.substr(0, target.find('?'))))
+    return "dot segment in the path";
   if (const char* problem = FindHeaderProblem(head.headers)) return problem;
   if (const char* problem = FindLengthProblem(head.headers)) return problem;
   const int hosts = CountHeader(head.headers, "Host");
--- a/src/net/websocket.h
+++ b/src/net/websocket.h
@@ -44,7 +44,6 @@
   using transport_type =
       websocketpp::transport::iostream::endpoint<transport_config>;
   static bool const enable_multithreading = false;
-  static bool const enable_extensions = false;
   static bool const drop_on_protocol_error = true;
   static bool const silent_close = true;
   static std::size_t const max_message_size = kMaxFrameBytes;
--- /dev/null
+++ b/testing/unit/net_harness.h
@@ -0,0 +1,154 @@
+#ifndef PIMENTOHALL_UNIT_NET_HARNESS_H_
+#define PIMENTOHALL_UNIT_NET_HARNESS_H_
+
+// A loop that runs until something has happened, and plain TCP ends that send
+// exact bytes. Tests wait for events; the watchdog only ends a failed test.
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/raii.h"
+#include "net/socket.h"
+#include "pimentohall/net.h"
+
+namespace pimentohall::net {
+
+struct net_harness {
+  event_loop loop;
+  timer_service timers{loop};
+
+  // False if `done` isn't true within the watchdog's time.
+  bool RunUntil(const std::function<bool()>& done) {
+    bool expired = false;
+    sigc::connection watchdog =
+        timers.After(std::chrono::seconds(20),
+                     sigc::slot<void()>([&expired] { expired = true; }));
+    while (!done() && !expired) event_base_loop(loop.Base(), EVLOOP_ONCE);
+    watchdog.disconnect();
+    return !expired;
+  }
+  // Lets everything that is ready now happen.
+  void RunReady() {
+    for (int i = 0; i < 10; ++i) event_base_loop(loop.Base(), EVLOOP_NONBLOCK);
+  }
+};
+
+// One end of a TCP connection.
+class raw_stream {
+ public:
+  // Connects to `port` of the loopback address.
+  raw_stream(net_harness& net, int port)
+      : raw_stream(bufferevent_socket_new(net.loop.Base(), -1,
+                                          BEV_OPT_CLOSE_ON_FREE)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    bufferevent_socket_connect(stream_.get(), reinterpret_cast<sockaddr*>(&to),
+                               sizeof(to));
+  }
+  explicit raw_stream(bufferevent* stream) : stream_(stream) {
+    bufferevent_setcb(stream, &raw_stream::OnRead, nullptr,
+                      &raw_stream::OnEvent, this);
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+  }
+  raw_stream(const raw_stream&) = delete;
+  raw_stream& operator=(const raw_stream&) = delete;
+
+  void Write(const std::string& bytes) {
+    bufferevent_write(stream_.get(), bytes.data(), bytes.size());
+  }
+  // libevent closes the descriptor on a later turn; the other end sees this at
+  // once.
+  void Close() {
+    if (stream_) shutdown(bufferevent_getfd(stream_.get()), SHUT_RDWR);
+    stream_.reset();
+  }
+  // Closes once everything is written.
+  void CloseAfterWrite() {
+    bufferevent_setcb(stream_.get(), nullptr, &raw_stream::OnWritten, nullptr,
+                      this);
+  }
+  // Closes with a reset instead of an end of stream.
+  void Reset() {
+    const linger now = {1, 0};
+    setsockopt(bufferevent_getfd(stream_.get()), SOL_SOCKET, SO_LINGER, &now,
+               sizeof(now));
+    stream_.reset();
+  }
+  bool Has(const std::string& text) const {
+    return received.find(text) != std::string::npos;
+  }
+
+  std::string received;
+  bool closed = false;
+  std::function<void(raw_stream*)> on_read;
+
+ private:
+  static void OnRead(bufferevent* stream, void* self) {
+    auto* raw = static_cast<raw_stream*>(self);
+    char bytes[65536];
+    for (;;) {
+      const std::size_t size = bufferevent_read(stream, bytes, sizeof(bytes));
+      if (size == 0) break;
+      raw->received.append(bytes, size);
+    }
+    if (raw->on_read) raw->on_read(raw);
+  }
+  static void OnWritten(bufferevent*, void* self) {
+    static_cast<raw_stream*>(self)->Close();
+  }
+  static void OnEvent(bufferevent*, short what, void* self) {
+    if ((what & BEV_EVENT_CONNECTED) != 0) return;
+    static_cast<raw_stream*>(self)->closed = true;
+  }
+
+  bufferevent_ptr stream_;
+};
+
+// Accepts connections and calls `on_read` for what arrives on each.
+class raw_server {
+ public:
+  explicit raw_server(net_harness& net) : net_(net) {
+    const int socket = *OpenListeningSocket({"127.0.0.1", 0});
+    port = BoundPort(socket);
+    listener_.reset(evconnlistener_new(net.loop.Base(), &raw_server::OnAccept,
+                                       this, LEV_OPT_CLOSE_ON_FREE, 0, socket));
+  }
+  void StopListening() { listener_.reset(); }
+
+  int port = 0;
+  std::vector<std::unique_ptr<raw_stream>> streams;
+  std::function<void(raw_stream*)> on_read;
+
+ private:
+  static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                       void* self) {
+    auto* server = static_cast<raw_server*>(self);
+    server->streams.push_back(
+        std::make_unique<raw_stream>(bufferevent_socket_new(
+            server->net_.loop.Base(), fd, BEV_OPT_CLOSE_ON_FREE)));
+    server->streams.back()->on_read = server->on_read;
+  }
+
+  net_harness& net_;
+  listener_ptr listener_;
+};
+
+// True once a whole request with an empty body has arrived.
+inline bool HasWholeHead(const raw_stream& stream) {
+  return stream.Has("\r\n\r\n");
+}
+
+}  // namespace pimentohall::net
+
+#endif  // PIMENTOHALL_UNIT_NET_HARNESS_H_
