--- /dev/null
+++ b/src/core/engine.cc
@@ -0,0 +1,332 @@
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/admission.h"
+#include "core/config_store.h"
+#include "core/contract_allocator.h"
+#include "core/distribution.h"
+#include "core/egress.h"
+#include "core/ingress.h"
+#include "core/membership.h"
+#include "core/peer_sender.h"
+#include "core/report.h"
+#include "core/retry_policy.h"
+#include "core/router.h"
+#include "pimentohall/core.h"
+
+// The engine composes the parts and owns what crosses them:
+//  - after each event it carries a new configuration into every part, before
+//    any further decision;
+//  - it forwards crash reports to linked peers, each report once;
+//  - it ends a planned stop when no call is left and peers had time to learn.
+//
+// Every event is followed by the parts' timers, so that a daemon that wakes
+// late first drops what expired.
+
+namespace pimentohall::core {
+namespace {
+
+// Identifiers of crash reports that were already passed on.
+constexpr std::size_t kMaxSeenCrashes = 1000;
+
+// A stopping daemon stays at least this long, so that its peers learn of the
+// stop before its port closes: twice the longest one-way time, with margin.
+constexpr duration kStopLinger = std::chrono::milliseconds(500);
+
+template <typename... handlers>
+struct overloaded : handlers... {
+  using handlers::operator()...;
+};
+template <typename... handlers>
+overloaded(handlers...) -> overloaded<handlers...>;
+
+}  // namespace
+
+class engine::impl {
+ public:
+  impl(engine_options options, instant start)
+      : options_(std::move(options)),
+        members_(options_.vm, options_.zone, options_.bootstrap_peers),
+        distribution_(options_, &store_, &members_, start),
+        allocator_(&members_, options_.incarnation, start),
+        router_(&members_, options_.zone, options_.seed),
+        egress_(options_.vm, options_.seed),
+        ingress_(options_.vm, options_.incarnation, IngressParts()),
+        sender_(&members_) {
+    store_.SignalInForce().connect([this] { config_changed_ = true; });
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  actions Handle(const event& event, instant now) {
+    actions out;
+    RunTimers(now, &out);
+    std::visit([&](const auto& body) { On(body, now, &out); }, event);
+    Settle(now, &out);
+    return out;
+  }
+
+  instant NextWake() const {
+    instant wake = std::min({distribution_.NextWake(), allocator_.NextWake(),
+                             egress_.NextWake(), ingress_.NextWake()});
+    if (stopping_ && !stop_finished_) {
+      const bool idle = ingress_.IsIdle() && egress_.IsIdle();
+      if (idle) wake = std::min(wake, stop_not_before_);
+    }
+    return wake;
+  }
+
+  bool IsReady() const { return distribution_.IsReady() && !stopping_; }
+  const config_store& Store() const { return store_; }
+
+  const counters& Counters() const {
+    counters_ = ingress_.Counters();
+    counters_.source_reads = distribution_.SourceReads();
+    counters_.refused_sets = store_.RefusedSets();
+    counters_.upstream_calls = upstream_calls_;
+    return counters_;
+  }
+
+  report_input ReportInput() const {
+    report_input input;
+    input.options = &options_;
+    input.store = &store_;
+    input.members = &members_;
+    input.distribution = &distribution_;
+    input.allocator = &allocator_;
+    input.routes = &router_;
+    input.egress = &egress_;
+    input.calls_in_flight = ingress_.CallsInFlight();
+    input.ready = IsReady();
+    input.stopping = stopping_;
+    input.counters = Counters();
+    return input;
+  }
+
+ private:
+  ingress::parts IngressParts() {
+    ingress::parts parts;
+    parts.store = &store_;
+    parts.allocator = &allocator_;
+    parts.routes = &router_;
+    parts.retries = &retries_;
+    parts.is_quarantined = [this](std::uint64_t fingerprint, instant now) {
+      return egress_.IsQuarantined(fingerprint, now);
+    };
+    return parts;
+  }
+
+  void RunTimers(instant now, actions* out) {
+    distribution_.Tick(now, out);
+    actions grants;
+    allocator_.Tick(now, &grants);
+    sender_.Route(std::move(grants), now, out);
+    egress_.Tick(now, out);
+    actions calls;
+    ingress_.Tick(now, &calls);
+    sender_.Route(std::move(calls), now, out);
+  }
+
+  // Carries out what an event has changed beyond the part that took it.
+  void Settle(instant now, actions* out) {
+    while (config_changed_) {
+      config_changed_ = false;
+      ApplyConfig(now, out);
+    }
+    actions calls;
+    ingress_.Tick(now, &calls);
+    sender_.Route(std::move(calls), now, out);
+    for (const crash_report& report : egress_.TakeCrashReports()) {
+      SpreadCrash(report, "", out);
+    }
+    FinishStop(now, out);
+    for (const action& act : *out) {
+      if (std::holds_alternative<start_upstream_call>(act)) ++upstream_calls_;
+    }
+  }
+
+  void ApplyConfig(instant now, actions* out) {
+    const auto set = store_.Set();
+    const auto vms = store_.Vms();
+    if (vms != nullptr && vms != applied_vms_) {
+      applied_vms_ = vms;
+      members_.SetVms(vms);
+      router_.SetVms(vms);
+      allocator_.SetVms(*vms, now);
+    }
+    if (set != nullptr && set != applied_set_) {
+      applied_set_ = set;
+      router_.SetConfig(set);
+      allocator_.SetConfig(*set, now);
+      egress_.SetConfig(set, now, out);
+    }
+    distribution_.Tick(now, out);
+    out->push_back(config_in_force{set, vms});
+  }
+
+  void SpreadCrash(const crash_report& report, const std::string& from,
+                   actions* out) {
+    if (!seen_crashes_.insert(report.crash).second) return;
+    crash_order_.push_back(report.crash);
+    if (crash_order_.size() > kMaxSeenCrashes) {
+      seen_crashes_.erase(crash_order_.front());
+      crash_order_.pop_front();
+    }
+    for (const std::string& vm : members_.LinkedVms()) {
+      if (vm != from) out->push_back(send_message{vm, report});
+    }
+  }
+
+  void FinishStop(instant now, actions* out) {
+    if (!stopping_ || stop_finished_ || now < stop_not_before_) return;
+    if (!ingress_.IsIdle() || !egress_.IsIdle()) return;
+    stop_finished_ = true;
+    out->push_back(stop_finished{});
+  }
+
+  void On(const tick&, instant, actions*) {}
+  void On(const call_arrived& call, instant now, actions* out) {
+    actions made;
+    if (distribution_.IsReady()) {
+      ingress_.OnCallArrived(call, now, &made);
+    } else {
+      ingress_.RefuseNotReady(call, now, &made);
+    }
+    sender_.Route(std::move(made), now, out);
+  }
+  void On(const call_cancelled& cancelled, instant now, actions* out) {
+    ingress_.OnCallCancelled(cancelled, now, out);
+  }
+  void On(const peer_answer& answer, instant now, actions* out) {
+    ingress_.OnPeerAnswer(answer, now, out);
+  }
+  void On(const forward_failed& failure, instant now, actions* out) {
+    ingress_.OnForwardFailed(failure, now, out);
+  }
+  void On(const peer_call& call, instant now, actions* out) {
+    egress_.OnPeerCall(call, now, out);
+  }
+  void On(const peer_cancel& cancel, instant now, actions* out) {
+    egress_.OnPeerCancel(cancel, now, out);
+  }
+  void On(const upstream_answered& answer, instant now, actions* out) {
+    egress_.OnUpstreamAnswered(answer, now, out);
+  }
+  void On(const upstream_failed& failure, instant now, actions* out) {
+    egress_.OnUpstreamFailed(failure, now, out);
+  }
+  void On(const upstream_report& report, instant now, actions* out) {
+    egress_.OnUpstreamReport(report, now, out);
+  }
+  void On(const link_up& up, instant now, actions* out) {
+    distribution_.OnLinkUp(up.vm, now, out);
+    sender_.OnLinkUp(up.vm, out);
+  }
+  void On(const link_down& down, instant now, actions* out) {
+    sender_.OnLinkDown(down.vm);
+    distribution_.OnLinkDown(down.vm, now, out);
+  }
+  void On(const call_link_down& down, instant now, actions* out) {
+    ingress_.OnCallLinkDown(down.vm, now, out);
+    egress_.OnPeerGone(down.vm, now, out);
+  }
+  void On(const message_received& received, instant now, actions* out) {
+    const auto to_allocator = [&](const auto&) {
+      actions made;
+      allocator_.OnMessage(received.vm, received.body, now, &made);
+      sender_.Route(std::move(made), now, out);
+    };
+    const auto to_distribution = [&](const auto&) {
+      distribution_.OnMessage(received.vm, received.body, now, out);
+    };
+    std::visit(overloaded{
+                   [&](const grant_request& body) { to_allocator(body); },
+                   [&](const grant_reply& body) { to_allocator(body); },
+                   [&](const permit_return& body) { to_allocator(body); },
+                   [&](const status_message& body) { to_distribution(body); },
+                   [&](const fetch_request& body) { to_distribution(body); },
+                   [&](const fetch_reply& body) { to_distribution(body); },
+                   [&](const crash_report& report) {
+                     egress_.OnCrashReport(report, now);
+                     SpreadCrash(report, received.vm, out);
+                   },
+               },
+               received.body);
+  }
+  void On(const source_value& value, instant now, actions* out) {
+    distribution_.OnSourceValue(value, now, out);
+  }
+  void On(const source_failed& failure, instant now, actions* out) {
+    distribution_.OnSourceFailed(failure, now, out);
+  }
+  void On(const begin_stop&, instant now, actions* out) {
+    if (stopping_) return;
+    stopping_ = true;
+    stop_not_before_ = now + kStopLinger;
+    distribution_.BeginStop(now, out);
+    ingress_.BeginStop();
+    egress_.BeginStop();
+  }
+
+  engine_options options_;
+  config_store store_;
+  membership members_;
+  distribution distribution_;
+  contract_allocator allocator_;
+  router router_;
+  retry_policy retries_;
+  egress egress_;
+  ingress ingress_;
+  peer_sender sender_;
+
+  bool config_changed_ = false;
+  std::shared_ptr<const config::config_set> applied_set_;
+  std::shared_ptr<const config::vm_list> applied_vms_;
+  bool stopping_ = false;
+  bool stop_finished_ = false;
+  instant stop_not_before_;
+  std::set<std::uint64_t> seen_crashes_;
+  std::deque<std::uint64_t> crash_order_;
+  std::uint64_t upstream_calls_ = 0;
+  mutable counters counters_;
+};
+
+engine::engine(engine_options options, instant start)
+    : impl_(std::make_unique<impl>(std::move(options), start)) {}
+engine::~engine() = default;
+engine::engine(engine&&) noexcept = default;
+engine& engine::operator=(engine&&) noexcept = default;
+
+actions engine::Handle(const event& event, instant now) {
+  return impl_->Handle(event, now);
+}
+
+instant engine::NextWake() const { return impl_->NextWake(); }
+
+bool engine::IsReady() const { return impl_->IsReady(); }
+
+std::shared_ptr<const config::config_set> engine::Set() const {
+  return impl_->Store().Set();
+}
+
+std::shared_ptr<const config::vm_list> engine::Vms() const {
+  return impl_->Store().Vms();
+}
+
+const counters& engine::Counters() const { return impl_->Counters(); }
+
+std::string engine::Dump(instant now) const {
+  return DumpReport(impl_->ReportInput(), now);
+}
+
+std::string engine::Explain(const call_arrived& call, instant now) const {
+  return ExplainReport(impl_->ReportInput(), call, now);
+}
+
+}  // namespace pimentohall::core
--- /dev/null
+++ b/src/core/http_status.h
@@ -0,0 +1,14 @@
+#ifndef PIMENTOHALL_CORE_HTTP_STATUS_H_
+#define PIMENTOHALL_CORE_HTTP_STATUS_H_
+
+#include "pimentohall/core.h"
+
+namespace pimentohall::core {
+
+// The status that a caller gets for a call that was not answered by an
+// upstream.
+int HttpStatusFor(outcome_kind outcome, reason why);
+
+}  // namespace pimentohall::core
+
+#endif  // PIMENTOHALL_CORE_HTTP_STATUS_H_
