Add the operators' command line

Cause: operators need to check, compare and build configurations, and to look into daemons. Conclusion: to be tried against a running daemon after the merge.

--- /dev/null
+++ b/src/cli/admin_client.h
@@ -0,0 +1,28 @@
+#ifndef PIMENTOHALL_CLI_ADMIN_CLIENT_H_
+#define PIMENTOHALL_CLI_ADMIN_CLIENT_H_
+
+#include <string>
+#include <tl/expected.hpp>
+
+namespace pimentohall::cli {
+
+// A daemon that did not answer, or not with 200.
+struct admin_error {
+  std::string address;
+  std::string problem;
+  std::string ToString() const { return address + ": " + problem; }
+};
+
+// Greatest time for an answer.
+inline constexpr int kAdminTimeoutSeconds = 3;
+
+// Body of GET `path` at a daemon's admin address ("127.0.0.1:9901").
+tl::expected<std::string, admin_error> AdminGet(const std::string& address,
+                                                const std::string& path);
+
+// Percent-encodes a query parameter.
+std::string EncodeParameter(const std::string& text);
+
+}  // namespace pimentohall::cli
+
+#endif  // PIMENTOHALL_CLI_ADMIN_CLIENT_H_
--- /dev/null
+++ b/src/cli/offline_engine.h
@@ -0,0 +1,21 @@
+#ifndef PIMENTOHALL_CLI_OFFLINE_ENGINE_H_
+#define PIMENTOHALL_CLI_OFFLINE_ENGINE_H_
+
+#include <string>
+#include <tl/expected.hpp>
+
+#include "cli/folder.h"
+#include "pimentohall/config.h"
+#include "pimentohall/core.h"
+
+namespace pimentohall::cli {
+
+// Feeds a configuration folder to an engine as the source would, and gives its
+// explanation of the call (JSON) as the first VM of the list would see it. The
+// folder must hold a VM list.
+tl::expected<std::string, config::faults> ExplainOffline(
+    const folder& folder, const core::call_arrived& call);
+
+}  // namespace pimentohall::cli
+
+#endif  // PIMENTOHALL_CLI_OFFLINE_ENGINE_H_
--- /dev/null
+++ b/src/cli/verbs.h
@@ -0,0 +1,32 @@
+#ifndef PIMENTOHALL_CLI_VERBS_H_
+#define PIMENTOHALL_CLI_VERBS_H_
+
+#include <string>
+#include <vector>
+
+namespace pimentohall::cli {
+
+// Exit codes by kind. Scripts may rely on them.
+enum exit_code {
+  kOk = 0,
+  kFaulty = 1,       // The configuration has faults, or a call is refused.
+  kUsage = 2,        // Bad arguments.
+  kUnreachable = 3,  // A daemon did not answer.
+  kDiffers = 4,      // `diff` found differences; `status` found lag.
+  kFileError = 5,    // A file can't be read or written.
+};
+
+// Arguments of a verb; the first is the program's name with the verb.
+using arguments = std::vector<std::string>;
+
+int RunCheck(arguments args);
+int RunDiff(arguments args);
+int RunBuild(arguments args);
+int RunStatus(arguments args);
+int RunDump(arguments args);
+int RunExplain(arguments args);
+int RunWatch(arguments args);
+
+}  // namespace pimentohall::cli
+
+#endif  // PIMENTOHALL_CLI_VERBS_H_
