--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -98,14 +98,14 @@
     input.options = &options_;
     input.store = &store_;
     input.members = &members_;
-    input.distribution = &distribution_;
+    input.distributor = &distribution_;
     input.allocator = &allocator_;
     input.routes = &router_;
-    input.egress = &egress_;
+    input.guard = &egress_;
     input.calls_in_flight = ingress_.CallsInFlight();
     input.ready = IsReady();
     input.stopping = stopping_;
-    input.counters = Counters();
+    input.totals = Counters();
     return input;
   }
 
--- a/src/core/report.cc
+++ b/src/core/report.cc
@@ -26,7 +26,7 @@
     config["version"] = set->Version();
     config["digest"] = set->Digest();
   }
-  const duration age = input.distribution->SourceAge(now);
+  const duration age = input.distributor->SourceAge(now);
   if (age >= duration::zero()) config["age_ms"] = ToMs(age);
   config["missing_parts"] = input.store->MissingParts().size();
   config["refused_sets"] = input.store->RefusedSets();
@@ -91,7 +91,7 @@
 
 json GuardedUpstreamsJson(const report_input& input, instant now) {
   json upstreams = json::array();
-  for (const egress::view& view : input.egress->View(now)) {
+  for (const egress::view& view : input.guard->View(now)) {
     upstreams.push_back({{"upstream", view.upstream},
                          {"state", view.state},
                          {"load", LoadJson(view.load)},
@@ -102,16 +102,16 @@
   return upstreams;
 }
 
-json CountersJson(const counters& counters) {
-  return {{"calls", counters.calls},
-          {"answered", counters.answered},
-          {"refused_not_run", counters.refused_not_run},
-          {"failed_may_have_run", counters.failed_may_have_run},
-          {"attempts", counters.attempts},
-          {"retries", counters.retries},
-          {"source_reads", counters.source_reads},
-          {"refused_sets", counters.refused_sets},
-          {"upstream_calls", counters.upstream_calls}};
+json CountersJson(const counters& totals) {
+  return {{"calls", totals.calls},
+          {"answered", totals.answered},
+          {"refused_not_run", totals.refused_not_run},
+          {"failed_may_have_run", totals.failed_may_have_run},
+          {"attempts", totals.attempts},
+          {"retries", totals.retries},
+          {"source_reads", totals.source_reads},
+          {"refused_sets", totals.refused_sets},
+          {"upstream_calls", totals.upstream_calls}};
 }
 
 }  // namespace
@@ -129,7 +129,7 @@
   dump["upstreams_here"] = GuardedUpstreamsJson(input, now);
   dump["upstreams"] = RoutedUpstreamsJson(input, "", now);
   dump["calls_in_flight"] = input.calls_in_flight;
-  dump["counters"] = CountersJson(input.counters);
+  dump["counters"] = CountersJson(input.totals);
   return dump.dump(2);
 }
 
--- a/src/core/report.h
+++ b/src/core/report.h
@@ -19,14 +19,14 @@
   const engine_options* options = nullptr;
   const config_store* store = nullptr;
   const membership* members = nullptr;
-  const distribution* distribution = nullptr;
+  const distribution* distributor = nullptr;
   const contract_allocator* allocator = nullptr;
   const router* routes = nullptr;
-  const egress* egress = nullptr;
+  const egress* guard = nullptr;
   std::size_t calls_in_flight = 0;
   bool ready = false;
   bool stopping = false;
-  counters counters;
+  counters totals;
 };
 
 // JSON with a fixed order of fields, without keys or digests of keys.
--- a/testing/sim/scenario.cc
+++ b/testing/sim/scenario.cc
@@ -395,8 +395,21 @@
     return true;
   }
 
-  // expect MEASURE OP VALUE
+  // What must hold in every scenario, whatever fails.
+  bool ExpectInvariants() {
+    static const char* const kZeroMeasures[] = {
+        "lost_calls",      "doubled_calls",   "false_not_run",
+        "crossed_answers", "overshoot_calls", "cut_by_planned_stop",
+        "regressions"};
+    for (const char* measure : kZeroMeasures) {
+      if (!Expect({"expect", measure, "==", "0"})) return false;
+    }
+    return true;
+  }
+
+  // expect MEASURE OP VALUE, or expect invariants
   bool Expect(const words& args) {
+    if (args.size() == 2 && args[1] == "invariants") return ExpectInvariants();
     if (args.size() != 4) return Fail("expect MEASURE OP VALUE");
     if (!EnsureWorld()) return false;
     const auto measures = Measures();
