--- /dev/null
+++ b/src/core/distribution.cc
@@ -0,0 +1,339 @@
+#include "core/distribution.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/rendezvous.h"
+
+namespace pimentohall::core {
+namespace {
+
+// A source age beyond this (30 years) is a fault and is read as "never".
+constexpr std::int64_t kMaxAgeMs = 1'000'000'000'000;
+
+std::uint64_t SeedFor(const engine_options& options) {
+  const std::string salt =
+      std::to_string(options.seed) + "/" + std::to_string(options.incarnation);
+  return RendezvousWeight(salt, options.vm);
+}
+
+}  // namespace
+
+distribution::distribution(const engine_options& options, config_store* store,
+                           membership* members, instant start)
+    : vm_(options.vm),
+      incarnation_(options.incarnation),
+      has_bootstrap_peers_(!options.bootstrap_peers.empty()),
+      store_(store),
+      members_(members),
+      random_(SeedFor(options)),
+      manifest_watch_(source_key::kManifest, start),
+      vms_watch_(source_key::kVmList, start),
+      part_read_tokens_(kPartReadsPerSecond, kPartReadBurst, start),
+      next_direct_(start),
+      next_heartbeat_(start + RandomBelow(kHeartbeat, &random_)),
+      last_advance_(start),
+      next_wake_(start) {}
+
+// ---------------------------------------------------------------------------
+// Events.
+
+void distribution::OnLinkUp(const std::string& vm, instant now, actions* out) {
+  if (vm == vm_) return;
+  const bool dialled = dials_.erase(vm) > 0;
+  const bool known = links_.count(vm) > 0;
+  if (!known && !dialled && links_.size() >= kMaxLinks) {
+    out->push_back(close_link{vm});
+    return;
+  }
+  link& link = links_.try_emplace(vm, now).first->second;
+  link.dialled = link.dialled || dialled;
+  members_->OnLinkUp(vm, now);
+  out->push_back(send_message{vm, MakeStatus(now)});
+  Advance(now, out);
+}
+
+void distribution::OnLinkDown(const std::string& vm, instant now,
+                              actions* out) {
+  const auto it = links_.find(vm);
+  const bool dialling = dials_.erase(vm) > 0;
+  // The answer to an own `close_link` finds nothing here.
+  if (it == links_.end() && !dialling) return;
+  // A peer may close a link that it dialled and no longer wants, so that is no
+  // evidence against it.
+  const bool failed = dialling || it->second.dialled;
+  if (failed) {
+    members_->OnLinkDown(vm, now);
+  } else {
+    members_->OnLinkClosed(vm, now);
+  }
+  DropLink(vm, now, out);
+  Advance(now, out);
+}
+
+void distribution::DropLink(const std::string& vm, instant now, actions* out) {
+  links_.erase(vm);
+  ready_asked_.erase(vm);
+  fetcher_.OnLinkDown(vm, now, out);
+}
+
+void distribution::OnMessage(const std::string& vm, const message& body,
+                             instant now, actions* out) {
+  if (links_.count(vm) == 0) return;
+  if (const auto* status = std::get_if<status_message>(&body)) {
+    OnStatus(vm, *status, now);
+  } else if (const auto* request = std::get_if<fetch_request>(&body)) {
+    OnFetchRequest(vm, *request, now, out);
+    return;
+  } else if (const auto* reply = std::get_if<fetch_reply>(&body)) {
+    const auto blob = fetcher_.OnReply(vm, *reply, now, out);
+    if (blob) OnFetched(*blob, now, out);
+  } else {
+    return;
+  }
+  Advance(now, out);
+}
+
+void distribution::OnStatus(const std::string& vm, const status_message& status,
+                            instant now) {
+  members_->OnStatus(vm, status, now);
+  ready_asked_.erase(vm);
+  link& link = links_.at(vm);
+  const bool changed = !link.status ||
+                       link.status->config_digest != status.config_digest ||
+                       link.status->vms_digest != status.vms_digest;
+  if (changed) link.announced = ++announcements_;
+  link.status = status;
+  link.heard = now;
+  link.confirmed.reset();
+  const bool known =
+      status.source_age_ms >= 0 && status.source_age_ms <= kMaxAgeMs;
+  if (!known || status.config_version == 0) return;
+  link.confirmed = now - std::chrono::milliseconds(status.source_age_ms);
+  const std::uint64_t version = store_->ConfigVersion();
+  const bool agrees = status.config_version > version ||
+                      status.config_digest == store_->ConfigDigest();
+  const bool counts = status.config_version >= version && agrees;
+  if (counts && version > 0) Confirm(*link.confirmed);
+}
+
+void distribution::OnFetchRequest(const std::string& vm,
+                                  const fetch_request& request, instant now,
+                                  actions* out) {
+  if (!links_.at(vm).replies.Take(now)) return;
+  fetch_reply reply;
+  reply.kind = request.kind;
+  reply.digest = request.digest;
+  reply.offset = request.offset;
+  const std::string* blob = store_->FindBlob(request.kind, request.digest);
+  if (blob != nullptr) {
+    if (request.offset >= blob->size()) return;
+    reply.total_bytes = blob->size();
+    reply.bytes = blob->substr(static_cast<std::size_t>(request.offset),
+                               blob_fetcher::kPieceBytes);
+  }
+  out->push_back(send_message{vm, std::move(reply)});
+}
+
+void distribution::BeginStop(instant now, actions* out) {
+  stopping_ = true;
+  announce_ = true;
+  Advance(now, out);
+}
+
+void distribution::Tick(instant now, actions* out) {
+  if (now < next_wake_) return;
+  Advance(now, out);
+}
+
+instant distribution::NextWake() const { return next_wake_; }
+
+// ---------------------------------------------------------------------------
+// The steps after each event.
+
+void distribution::Advance(instant now, actions* out) {
+  ShiftDeadlines(now);
+  members_->Tick(now);
+  CloseSilentLinks(now, out);
+  GiveUpDials(now, out);
+  fetcher_.Tick(now, out);
+  PunishOffenders(now, out);
+  GiveUpStaged(now, out);
+  AdoptVmList();
+  UpdateLinks(now, out);
+  UpdateFetches(now, out);
+  ReadSource(now, out);
+  ReadParts(now, out);
+  SendStatuses(now, out);
+  UpdateReadiness(now);
+  UpdateWake(now);
+}
+
+void distribution::ShiftDeadlines(instant now) {
+  const duration gap = now - last_advance_;
+  last_advance_ = now;
+  if (gap <= membership::kPause) return;
+  fetcher_.Shift(gap);
+  staged_progress_ += gap;
+  unconfirmed_since_.reset();
+  for (auto& [vm, link] : links_) link.heard = std::min(link.heard + gap, now);
+  for (auto& [vm, since] : dials_) since += gap;
+}
+
+void distribution::CloseSilentLinks(instant now, actions* out) {
+  for (const std::string& vm : members_->SilentLinks(now)) {
+    members_->OnLinkDown(vm, now);
+    DropLink(vm, now, out);
+    out->push_back(close_link{vm});
+  }
+}
+
+void distribution::GiveUpDials(instant now, actions* out) {
+  for (auto it = dials_.begin(); it != dials_.end();) {
+    if (now - it->second < kDialWait) {
+      ++it;
+      continue;
+    }
+    members_->OnLinkDown(it->first, now);
+    ready_asked_.erase(it->first);
+    out->push_back(close_link{it->first});
+    it = dials_.erase(it);
+  }
+}
+
+void distribution::AdoptVmList() {
+  if (store_->VmsDigest() != announced_vms_) members_->SetVms(store_->Vms());
+}
+
+void distribution::UpdateLinks(instant now, actions* out) {
+  const std::vector<std::string> wanted = members_->WantedLinks(now);
+  for (const std::string& vm : wanted) {
+    if (links_.count(vm) == 0 && dials_.count(vm) == 0) OpenLink(vm, now, out);
+  }
+  CloseUnwanted(wanted, now, out);
+  if (!ready_check_ && store_->Vms() != nullptr) ready_check_ = now;
+}
+
+void distribution::OpenLink(const std::string& vm, instant now, actions* out) {
+  const auto address = members_->AddressOf(vm);
+  if (!address) return;
+  dials_.emplace(vm, now);
+  out->push_back(open_link{vm, address->address, address->port});
+  const bool asked = !ready_check_ || now < *ready_check_ + kReadyWait;
+  if (asked && !ready_) ready_asked_.insert(vm);
+}
+
+void distribution::CloseUnwanted(const std::vector<std::string>& wanted,
+                                 instant now, actions* out) {
+  std::vector<std::string> closed;
+  for (auto& [vm, link] : links_) {
+    const bool keep = !link.dialled || std::find(wanted.begin(), wanted.end(),
+                                                 vm) != wanted.end();
+    if (keep) {
+      link.unwanted_since.reset();
+    } else if (!link.unwanted_since) {
+      link.unwanted_since = now;
+    } else if (now - *link.unwanted_since >= kLinkHold) {
+      closed.push_back(vm);
+    }
+  }
+  for (const std::string& vm : closed) {
+    members_->OnLinkClosed(vm, now);
+    DropLink(vm, now, out);
+    out->push_back(close_link{vm});
+  }
+}
+
+void distribution::SendStatuses(instant now, actions* out) {
+  const bool changed = store_->ConfigDigest() != announced_config_ ||
+                       store_->VmsDigest() != announced_vms_;
+  if (!changed && !announce_ && now < next_heartbeat_) return;
+  announced_config_ = store_->ConfigDigest();
+  announced_vms_ = store_->VmsDigest();
+  announce_ = false;
+  next_heartbeat_ = now + kHeartbeat;
+  for (const auto& [vm, link] : links_) {
+    out->push_back(send_message{vm, MakeStatus(now)});
+  }
+}
+
+status_message distribution::MakeStatus(instant now) const {
+  status_message status;
+  status.vm = vm_;
+  status.incarnation = incarnation_;
+  status.config_version = store_->ConfigVersion();
+  status.config_digest = store_->ConfigDigest();
+  status.vms_version = store_->VmsVersion();
+  status.vms_digest = store_->VmsDigest();
+  if (confirmed_) {
+    using std::chrono::milliseconds;
+    // Rounded up, so that the age does not shrink from hop to hop.
+    status.source_age_ms =
+        std::chrono::ceil<milliseconds>(now - *confirmed_).count();
+  }
+  status.stopping = stopping_;
+  return status;
+}
+
+void distribution::UpdateWake(instant now) {
+  next_wake_ = std::min({now + kTickInterval, next_heartbeat_,
+                         std::max(fetcher_.NextWake(), now + duration(1))});
+  const bool reader = members_->IsReader(now);
+  if (!reader) return;
+  for (const source_watch* watch : {&manifest_watch_, &vms_watch_}) {
+    next_wake_ = std::min(next_wake_, watch->NextWake());
+  }
+  const bool parts_wait = !store_->MissingParts().empty();
+  if (parts_wait) {
+    next_wake_ = std::min(
+        next_wake_, std::max(part_read_tokens_.TokenAt(), now + duration(1)));
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Readiness and age.
+
+bool distribution::AllPeersAsked(instant now) const {
+  if (!ready_check_) return false;
+  if (ready_asked_.empty()) return true;
+  if (now < *ready_check_ + kReadyWait) return false;
+  // Peers that are not linked by now were not reachable in the first second.
+  return std::none_of(
+      ready_asked_.begin(), ready_asked_.end(),
+      [this](const std::string& vm) { return links_.count(vm) > 0; });
+}
+
+bool distribution::HighestIsInForce(instant now) {
+  std::uint64_t highest = 0;
+  for (const auto& [vm, link] : links_) {
+    if (!link.status || IsPenalised(vm, now)) continue;
+    if (store_->IsRefused(link.status->config_digest)) continue;
+    highest = std::max(highest, link.status->config_version);
+  }
+  // Later versions must not keep a slow daemon from becoming ready.
+  if (!ready_target_) ready_target_ = highest;
+  return store_->ConfigVersion() >= std::min(highest, *ready_target_);
+}
+
+void distribution::UpdateReadiness(instant now) {
+  if (ready_ || store_->Set() == nullptr || store_->Vms() == nullptr) return;
+  ready_ = AllPeersAsked(now) && HighestIsInForce(now);
+}
+
+bool distribution::IsReady() const { return ready_; }
+
+void distribution::Confirm(instant at) {
+  confirmed_ = confirmed_ ? std::max(*confirmed_, at) : at;
+}
+
+duration distribution::SourceAge(instant now) const {
+  return confirmed_ ? now - *confirmed_ : duration(-1);
+}
+
+std::uint64_t distribution::SourceReads() const { return source_reads_; }
+
+std::uint64_t distribution::StaleAnswers() const { return stale_answers_; }
+
+std::uint64_t distribution::Penalties() const { return penalties_given_; }
+
+}  // namespace pimentohall::core
--- /dev/null
+++ b/src/core/membership.cc
@@ -0,0 +1,294 @@
+#include "core/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/rendezvous.h"
+
+namespace pimentohall::core {
+namespace {
+
+// Ranks kept for each organisation. Only if all of them are unusable is the
+// whole list ranked again.
+constexpr std::size_t kHomeCandidates = 8;
+// Bounds the cache against keys that are no organisations.
+constexpr std::size_t kMaxHomes = 4096;
+// Peers known by link only; beyond this, idle ones are forgotten.
+constexpr std::size_t kMaxUnlistedPeers = 1024;
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+duration WaitAfter(int failures) {
+  duration wait = membership::kFirstWait;
+  for (int i = 1; i < failures && wait < membership::kGreatestWait; ++i) {
+    wait *= 2;
+  }
+  return std::min(wait, membership::kGreatestWait);
+}
+
+}  // namespace
+
+membership::membership(std::string vm, std::string zone,
+                       std::vector<bootstrap_peer> bootstrap_peers)
+    : vm_(std::move(vm)),
+      zone_(std::move(zone)),
+      bootstrap_peers_(std::move(bootstrap_peers)) {}
+
+void membership::SetVms(std::shared_ptr<const config::vm_list> vms) {
+  if (vms == nullptr || vms == vms_) return;
+  vms_ = std::move(vms);
+  topology_.emplace(*vms_, vm_, zone_);
+  homes_.clear();
+  ForgetUnlisted();
+}
+
+void membership::ForgetUnlisted() {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const bool keep = it->second.linked || vms_->Find(it->first) != nullptr;
+    it = keep ? std::next(it) : peers_.erase(it);
+  }
+}
+
+void membership::OnLinkUp(const std::string& vm, instant now) {
+  peer& peer = peers_[vm];
+  if (peer.linked) return;
+  peer.linked = true;
+  peer.up_since = now;
+  peer.heard = now;
+  peer.down_since.reset();
+  // Failed dials say little once the VM is reached; a link that keeps breaking
+  // still waits.
+  peer.retry_at = std::min(peer.retry_at, peer.failed_at + kFirstWait);
+}
+
+void membership::OnLinkDown(const std::string& vm, instant now) {
+  peer& peer = peers_[vm];
+  const bool repeated =
+      !peer.linked && peer.failures > 0 && peer.failed_at == now;
+  if (repeated) return;
+  if (peer.linked && now - peer.up_since >= kStableLink) peer.failures = 0;
+  peer.linked = false;
+  // A stopped daemon is dialled again after the wait: it may be back by then.
+  peer.stopping = false;
+  ++peer.failures;
+  peer.failed_at = now;
+  peer.retry_at = now + WaitAfter(peer.failures);
+  if (!peer.down_since) peer.down_since = now;
+  if (vms_ != nullptr && peers_.size() > vms_->vms.size() + kMaxUnlistedPeers) {
+    ForgetUnlisted();
+  }
+}
+
+void membership::OnLinkClosed(const std::string& vm, instant now) {
+  const auto it = peers_.find(vm);
+  if (it == peers_.end()) return;
+  if (it->second.stopping) {
+    OnLinkDown(vm, now);
+    return;
+  }
+  it->second.linked = false;
+}
+
+void membership::OnStatus(const std::string& vm, const status_message& status,
+                          instant now) {
+  const auto it = peers_.find(vm);
+  if (it == peers_.end()) return;
+  peer& peer = it->second;
+  const bool replaced =
+      peer.incarnation != 0 && peer.incarnation != status.incarnation;
+  if (replaced) {
+    peer.failures = 0;
+    peer.up_since = now;
+  }
+  peer.incarnation = status.incarnation;
+  peer.stopping = status.stopping;
+  peer.heard = now;
+}
+
+void membership::Tick(instant now) {
+  if (last_tick_ && now - *last_tick_ > kPause) {
+    const duration gap = now - *last_tick_;
+    for (auto& [name, peer] : peers_) {
+      // Statuses heard after the gap are not moved into the future.
+      peer.heard = std::min(peer.heard + gap, now);
+    }
+  }
+  last_tick_ = now;
+}
+
+const std::string& membership::Self() const { return vm_; }
+
+const membership::peer* membership::Find(const std::string& vm) const {
+  const auto it = peers_.find(vm);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+bool membership::HasLink(const std::string& vm) const {
+  const peer* known = Find(vm);
+  return known != nullptr && known->linked;
+}
+
+bool membership::IsStopping(const std::string& vm) const {
+  const peer* known = Find(vm);
+  return known != nullptr && known->stopping;
+}
+
+bool membership::IsWaiting(const peer& peer, instant now) const {
+  return peer.failures > 0 && now < peer.retry_at;
+}
+
+bool membership::IsUsable(const std::string& vm, instant now) const {
+  if (vms_ != nullptr) {
+    const config::vm* listed = vms_->Find(vm);
+    const bool leaving =
+        listed != nullptr && listed->state == config::vm_state::kLeaving;
+    if (leaving) return false;
+  }
+  if (IsStopping(vm)) return false;
+  const peer* known = Find(vm);
+  return known == nullptr || !IsWaiting(*known, now);
+}
+
+bool membership::CanLink(const std::string& vm, instant now) const {
+  if (vm == vm_ || IsStopping(vm)) return false;
+  const peer* known = Find(vm);
+  return known == nullptr || known->linked || !IsWaiting(*known, now);
+}
+
+bool membership::IsBelievedUp(const std::string& vm, instant now) const {
+  if (IsStopping(vm)) return false;
+  const peer* known = Find(vm);
+  if (known == nullptr || known->linked || !known->down_since) return true;
+  return now - *known->down_since < kFirstWait;
+}
+
+std::vector<std::string> membership::Ranked(std::string_view salt,
+                                            std::string_view zone) const {
+  std::vector<std::string> names;
+  if (vms_ == nullptr) return names;
+  for (const config::vm& vm : vms_->vms) {
+    if (vm.state != config::vm_state::kLive) continue;
+    if (zone.empty() || vm.zone == zone) names.push_back(vm.name);
+  }
+  SortByWeight(salt, &names);
+  return names;
+}
+
+const std::vector<std::string>& membership::HomeCandidates(
+    std::string_view organisation) const {
+  const auto it = homes_.find(organisation);
+  if (it != homes_.end()) return it->second;
+  if (homes_.size() >= kMaxHomes) homes_.clear();
+  std::vector<std::string> ranked = Ranked(organisation, "");
+  if (ranked.size() > kHomeCandidates) ranked.resize(kHomeCandidates);
+  return homes_.emplace(organisation, std::move(ranked)).first->second;
+}
+
+std::string membership::HomeOf(std::string_view organisation,
+                               instant now) const {
+  for (const std::string& vm : HomeCandidates(organisation)) {
+    if (IsUsable(vm, now)) return vm;
+  }
+  for (const std::string& vm : Ranked(organisation, "")) {
+    if (IsUsable(vm, now)) return vm;
+  }
+  return "";
+}
+
+bool membership::IsReader(instant now) const {
+  if (!topology_) return false;
+  const std::vector<std::string>& ranking = topology_->ReaderRanking();
+  std::size_t before = 0;
+  for (std::size_t i = 0; i < topology_->ReaderRank(); ++i) {
+    if (IsBelievedUp(ranking[i], now)) ++before;
+    if (before == topology::kReaders) return false;
+  }
+  return true;
+}
+
+void membership::Pick(const std::vector<std::string>& candidates, instant now,
+                      std::vector<std::string>* picked) const {
+  // Takes the first candidate that can be linked. Until it is linked, the
+  // first one that already is stays wanted too.
+  bool chosen = false;
+  for (const std::string& vm : candidates) {
+    if (Contains(*picked, vm) || !CanLink(vm, now)) continue;
+    const bool linked = HasLink(vm);
+    if (!chosen || linked) picked->push_back(vm);
+    chosen = true;
+    if (linked) return;
+  }
+}
+
+void membership::PickBootstrapPeers(instant now,
+                                    std::vector<std::string>* picked) const {
+  for (const bootstrap_peer& peer : bootstrap_peers_) {
+    if (CanLink(peer.vm, now) && !Contains(*picked, peer.vm)) {
+      picked->push_back(peer.vm);
+    }
+  }
+}
+
+void membership::PickReaderLinks(instant now,
+                                 std::vector<std::string>* picked) const {
+  for (const std::vector<std::string>& candidates : topology_->ZoneLinks()) {
+    Pick(candidates, now, picked);
+  }
+}
+
+void membership::PickParents(instant now,
+                             std::vector<std::string>* picked) const {
+  for (std::size_t tree = 0; tree < topology::kTrees; ++tree) {
+    Pick(topology_->Parents(tree), now, picked);
+  }
+}
+
+std::vector<std::string> membership::WantedLinks(instant now) const {
+  std::vector<std::string> picked;
+  if (!topology_) {
+    PickBootstrapPeers(now, &picked);
+    return picked;
+  }
+  const std::vector<std::string>& ranking = topology_->ReaderRanking();
+  const std::size_t near_readers = topology::kReaders + topology::kStandbys;
+  const bool reader = IsReader(now);
+  if (reader || topology_->ReaderRank() < near_readers) {
+    for (std::size_t i = 0; i < ranking.size() && i < topology::kReaders; ++i) {
+      if (CanLink(ranking[i], now)) picked.push_back(ranking[i]);
+    }
+  } else {
+    PickParents(now, &picked);
+  }
+  if (reader) PickReaderLinks(now, &picked);
+  // Without any candidate in the zone, other zones and the settings' peers are
+  // the only way back.
+  if (picked.empty()) PickReaderLinks(now, &picked);
+  if (picked.empty()) PickBootstrapPeers(now, &picked);
+  return picked;
+}
+
+std::vector<std::string> membership::SilentLinks(instant now) const {
+  std::vector<std::string> silent;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.linked && now - peer.heard > kSilence) silent.push_back(name);
+  }
+  return silent;
+}
+
+std::optional<bootstrap_peer> membership::AddressOf(
+    const std::string& vm) const {
+  if (vms_ != nullptr) {
+    const config::vm* listed = vms_->Find(vm);
+    if (listed != nullptr) {
+      return bootstrap_peer{vm, listed->address, listed->link_port};
+    }
+  }
+  for (const bootstrap_peer& peer : bootstrap_peers_) {
+    if (peer.vm == vm) return peer;
+  }
+  return std::nullopt;
+}
+
+}  // namespace pimentohall::core
