Let other modules keep links and list the linked VMs

Cause: the engine opens links to home VMs itself and needs to keep them, list the linked VMs and find a VM's address.

Change: membership gains KeepLink, IsDialling, LinkedVms and FindVm; distribution treats links opened that way as its own when they fail or are no longer wanted.

--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -40,7 +40,7 @@
 
 void distribution::OnLinkUp(const std::string& vm, instant now, actions* out) {
   if (vm == vm_) return;
-  const bool dialled = dials_.erase(vm) > 0;
+  const bool dialled = dials_.erase(vm) > 0 || members_->IsDialling(vm);
   const bool known = links_.count(vm) > 0;
   if (!known && !dialled && links_.size() >= kMaxLinks) {
     out->push_back(close_link{vm});
@@ -56,7 +56,7 @@
 void distribution::OnLinkDown(const std::string& vm, instant now,
                               actions* out) {
   const auto it = links_.find(vm);
-  const bool dialling = dials_.erase(vm) > 0;
+  const bool dialling = dials_.erase(vm) > 0 || members_->IsDialling(vm);
   // The answer to an own `close_link` finds nothing here.
   if (it == links_.end() && !dialling) return;
   // A peer may close a link that it dialled and no longer wants, so that is no
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -55,6 +55,7 @@
   peer& peer = peers_[vm];
   if (peer.linked) return;
   peer.linked = true;
+  peer.dialling = false;
   peer.up_since = now;
   peer.heard = now;
   peer.down_since.reset();
@@ -70,6 +71,7 @@
   if (repeated) return;
   if (peer.linked && now - peer.up_since >= kStableLink) peer.failures = 0;
   peer.linked = false;
+  peer.dialling = false;
   // A stopped daemon is dialled again after the wait: it may be back by then.
   peer.stopping = false;
   ++peer.failures;
@@ -107,6 +109,13 @@
   peer.heard = now;
 }
 
+void membership::KeepLink(const std::string& vm, instant until) {
+  if (vm == vm_) return;
+  peer& peer = peers_[vm];
+  peer.keep_until = std::max(peer.keep_until, until);
+  if (!peer.linked) peer.dialling = true;
+}
+
 void membership::Tick(instant now) {
   if (last_tick_ && now - *last_tick_ > kPause) {
     const duration gap = now - *last_tick_;
@@ -130,6 +139,23 @@
   return known != nullptr && known->linked;
 }
 
+bool membership::IsDialling(const std::string& vm) const {
+  const peer* known = Find(vm);
+  return known != nullptr && known->dialling;
+}
+
+std::vector<std::string> membership::LinkedVms() const {
+  std::vector<std::string> linked;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.linked) linked.push_back(name);
+  }
+  return linked;
+}
+
+const config::vm* membership::FindVm(std::string_view vm) const {
+  return vms_ == nullptr ? nullptr : vms_->Find(vm);
+}
+
 bool membership::IsStopping(const std::string& vm) const {
   const peer* known = Find(vm);
   return known != nullptr && known->stopping;
@@ -140,12 +166,10 @@
 }
 
 bool membership::IsUsable(const std::string& vm, instant now) const {
-  if (vms_ != nullptr) {
-    const config::vm* listed = vms_->Find(vm);
-    const bool leaving =
-        listed != nullptr && listed->state == config::vm_state::kLeaving;
-    if (leaving) return false;
-  }
+  const config::vm* listed = FindVm(vm);
+  const bool leaving =
+      listed != nullptr && listed->state == config::vm_state::kLeaving;
+  if (leaving) return false;
   if (IsStopping(vm)) return false;
   const peer* known = Find(vm);
   return known == nullptr || !IsWaiting(*known, now);
@@ -245,10 +269,18 @@
   }
 }
 
+void membership::PickKept(instant now, std::vector<std::string>* picked) const {
+  for (const auto& [name, peer] : peers_) {
+    const bool kept = peer.linked && now < peer.keep_until;
+    if (kept && !Contains(*picked, name)) picked->push_back(name);
+  }
+}
+
 std::vector<std::string> membership::WantedLinks(instant now) const {
   std::vector<std::string> picked;
   if (!topology_) {
     PickBootstrapPeers(now, &picked);
+    PickKept(now, &picked);
     return picked;
   }
   const std::vector<std::string>& ranking = topology_->ReaderRanking();
@@ -266,6 +298,7 @@
   // the only way back.
   if (picked.empty()) PickReaderLinks(now, &picked);
   if (picked.empty()) PickBootstrapPeers(now, &picked);
+  PickKept(now, &picked);
   return picked;
 }
 
@@ -279,11 +312,9 @@
 
 std::optional<bootstrap_peer> membership::AddressOf(
     const std::string& vm) const {
-  if (vms_ != nullptr) {
-    const config::vm* listed = vms_->Find(vm);
-    if (listed != nullptr) {
-      return bootstrap_peer{vm, listed->address, listed->link_port};
-    }
+  const config::vm* listed = FindVm(vm);
+  if (listed != nullptr) {
+    return bootstrap_peer{vm, listed->address, listed->link_port};
   }
   for (const bootstrap_peer& peer : bootstrap_peers_) {
     if (peer.vm == vm) return peer;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -54,8 +54,18 @@
   // silence of the peers.
   void Tick(instant now);
 
+  // Wants the link to `vm`, which another module opens and uses, until then. It
+  // is not dialled again by `distribution` if it breaks.
+  void KeepLink(const std::string& vm, instant until);
+
   const std::string& Self() const;
   bool HasLink(const std::string& vm) const;
+  // True if another module opened a link that is neither up nor failed yet.
+  bool IsDialling(const std::string& vm) const;
+  // All VMs with a link, whoever opened it, in name order.
+  std::vector<std::string> LinkedVms() const;
+  // The VM's entry in the list, or null.
+  const config::vm* FindVm(std::string_view vm) const;
 
   // False for a VM that is listed as leaving, said that it is stopping, or
   // whose link failed recently. A VM that was never dialled is usable.
@@ -85,6 +95,7 @@
  private:
   struct peer {
     bool linked = false;
+    bool dialling = false;  // By another module, see `KeepLink`.
     bool stopping = false;
     std::uint64_t incarnation = 0;  // 0: unknown.
     int failures = 0;               // In a row.
@@ -93,6 +104,7 @@
     std::optional<instant> down_since;  // First failure of the row.
     instant failed_at;                  // Last failure.
     instant retry_at;                   // With failures: not used before.
+    instant keep_until;
   };
 
   const peer* Find(const std::string& vm) const;
@@ -106,6 +118,7 @@
   void PickBootstrapPeers(instant now, std::vector<std::string>* picked) const;
   void PickReaderLinks(instant now, std::vector<std::string>* picked) const;
   void PickParents(instant now, std::vector<std::string>* picked) const;
+  void PickKept(instant now, std::vector<std::string>* picked) const;
   void ForgetUnlisted();
   // The first ranks for an organisation, cached until the list changes.
   const std::vector<std::string>& HomeCandidates(
