Add the contract allocator

Cause: the engine needs a first version of the allocator to build on.

Change: contract_account keeps one organisation's bucket, loans and permits; contract_allocator asks, lends and runs the start check.

--- /dev/null
+++ b/src/core/contract_account.cc
@@ -0,0 +1,158 @@
+#include "core/contract_account.h"
+
+#include <algorithm>
+
+namespace pimentohall::core {
+
+namespace {
+
+// Absorbs rounding when sums of rates or caps are compared.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
+void contract_account::SetShare(const own_share& share, instant now) {
+  Settle(now);
+  share_ = share;
+  Recompute(now);
+}
+
+void contract_account::Settle(instant now) {
+  while (next_change_ <= now) {
+    const instant change = next_change_;
+    bucket_.Advance(change);
+    Recompute(change);
+  }
+  bucket_.Advance(now);
+}
+
+void contract_account::Recompute(instant now) {
+  next_change_ = std::min(taken_.Expire(now), given_.Expire(now));
+  taken_now_ = taken_.Total(now);
+  given_now_ = given_.Total(now);
+  bucket_.SetLimits(
+      share_.rate_per_s + taken_now_.rate_per_s - given_now_.rate_per_s,
+      share_.cap + taken_now_.cap - given_now_.cap);
+}
+
+void contract_account::Take() {
+  bucket_.Take();
+  ++in_use_;
+}
+
+void contract_account::Release(bool refund) {
+  in_use_ = std::max<std::int64_t>(0, in_use_ - 1);
+  if (refund) {
+    bucket_.Refund();
+  }
+}
+
+std::int64_t contract_account::UsablePermits() const {
+  return std::max(share_.unlent_permits, share_.permits + taken_now_.permits -
+                                             given_now_.held_permits);
+}
+
+std::int64_t contract_account::PermitsNeededHere() const {
+  return std::max(share_.unlent_permits, in_use_);
+}
+
+bool contract_account::IsIdle() const {
+  return in_use_ == 0 && taken_.IsEmpty() && given_.IsEmpty();
+}
+
+loan_amount contract_account::Pool(instant until) const {
+  loan_amount pool = taken_.Total(until);
+  pool.rate_per_s += share_.rate_per_s;
+  pool.cap += share_.cap;
+  pool.permits += share_.permits;
+  return pool;
+}
+
+void contract_account::OnDeclared(const loan_party& borrower, bool ends_rate,
+                                  std::int64_t permits, instant now) {
+  given_.LimitPermits(borrower, std::max<std::int64_t>(0, permits));
+  if (ends_rate) {
+    given_.EndRate(borrower);
+  }
+  Recompute(now);
+}
+
+grant contract_account::Lend(const loan_party& borrower,
+                             const loan_amount& offer, double kept_tokens,
+                             duration term, instant now) {
+  const instant until = now + term;
+  const loan_amount pool = Pool(until);
+  const loan_amount before = given_.Of(borrower, now);
+  const std::int64_t needed_here =
+      PermitsNeededHere() + given_now_.held_permits;
+  loan_amount lent;
+  lent.rate_per_s =
+      std::clamp(pool.rate_per_s - given_now_.rate_per_s + before.rate_per_s,
+                 0.0, std::max(0.0, offer.rate_per_s));
+  lent.cap = std::clamp(pool.cap - given_now_.cap + before.cap, 0.0,
+                        std::max(0.0, offer.cap));
+  lent.permits =
+      std::clamp<std::int64_t>(pool.permits - needed_here + before.held_permits,
+                               0, std::max<std::int64_t>(0, offer.permits));
+  const double tokens = std::clamp(bucket_.Level() - kept_tokens, 0.0,
+                                   std::max(0.0, lent.cap - before.cap));
+  bucket_.Remove(tokens);
+  if (lent.rate_per_s > 0 || lent.cap > 0 || lent.permits > 0) {
+    given_.Add(borrower, lent, until);
+    Recompute(now);
+  }
+  grant result;
+  result.rate_per_s = lent.rate_per_s;
+  result.burst = lent.cap;
+  result.tokens = tokens;
+  result.permits = lent.permits;
+  result.term = term;
+  return result;
+}
+
+std::int64_t contract_account::Declare(const loan_party& lender, bool ends_rate,
+                                       std::int64_t wanted, instant now) {
+  const std::int64_t held = taken_.Of(lender, now).held_permits;
+  const std::int64_t covered_elsewhere =
+      share_.permits + taken_now_.held_permits - held;
+  const std::int64_t needed =
+      PermitsNeededHere() + given_now_.held_permits - covered_elsewhere;
+  const std::int64_t declared =
+      std::max(wanted, std::clamp<std::int64_t>(needed, 0, held));
+  taken_.LimitPermits(lender, declared);
+  if (ends_rate) {
+    taken_.EndRate(lender);
+  }
+  Recompute(now);
+  return declared;
+}
+
+void contract_account::Accept(const loan_party& lender, const grant& loan,
+                              instant until, instant now) {
+  taken_.Add(lender, {loan.rate_per_s, loan.burst, loan.permits, 0}, until);
+  Recompute(now);
+  bucket_.Add(loan.tokens);
+}
+
+void contract_account::EndTerms(const std::string& vm, instant now) {
+  taken_.EndTerms(vm, now);
+  Recompute(now);
+}
+
+bool contract_account::IsCoveredWithout(const std::string& vm,
+                                        instant now) const {
+  loan_amount rest = taken_now_;
+  for (const grant_mode mode : {grant_mode::kShare, grant_mode::kTokens}) {
+    const loan_amount lent = taken_.Of({vm, mode}, now);
+    rest.rate_per_s -= lent.rate_per_s;
+    rest.cap -= lent.cap;
+    rest.held_permits -= lent.held_permits;
+  }
+  return given_now_.rate_per_s <=
+             share_.rate_per_s + rest.rate_per_s + kRounding &&
+         given_now_.cap <= share_.cap + rest.cap + kRounding &&
+         PermitsNeededHere() + given_now_.held_permits <=
+             share_.permits + rest.held_permits;
+}
+
+}  // namespace pimentohall::core
--- /dev/null
+++ b/src/core/contract_allocator_lend.cc
@@ -0,0 +1,257 @@
+// The lender's side of contract_allocator: an idle VM that lends its share, the
+// home that lends from its pool, and the start check.
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "core/contract_allocator.h"
+
+namespace pimentohall::core {
+
+namespace {
+
+// Longest time that a request waits at the home for shares to arrive.
+constexpr duration kGatherWait = std::chrono::milliseconds(12);
+
+// What a sharing VM keeps: this part of its share, ...
+constexpr double kFloorPart = 1.0 / 8;
+// ... if its cap is at least this; below, a floor would lock up too much.
+constexpr double kLeastFloorCap = 4;
+// ... or this multiple of its own demand.
+constexpr double kOwnDemandHeadroom = 1.5;
+
+// Time between repeated start checks.
+constexpr duration kStartCheckInterval = std::chrono::milliseconds(250);
+
+// A loan with less cap than this admits hardly any call.
+constexpr double kLeastLoanCap = 2;
+
+double TermSeconds() {
+  return std::chrono::duration<double>(contract_allocator::kTokenTerm).count();
+}
+
+double FloorPart(double own_cap) {
+  return own_cap < kLeastFloorCap ? 0 : std::max(kFloorPart, 1 / own_cap);
+}
+
+}  // namespace
+
+void contract_allocator::OnRequest(const std::string& vm,
+                                   const grant_request& request, instant now,
+                                   actions* out) {
+  const bool is_start_check = request.mode == grant_mode::kShare &&
+                              request.items.size() == 1 &&
+                              request.items.front().organisation.empty();
+  if (is_start_check) {
+    OnStartCheck(vm, request, now, out);
+    return;
+  }
+  const std::uint64_t incarnation = request.id >> kRequestCounterBits;
+  const loan_party borrower{vm, request.mode, incarnation};
+  grant_request taken{request.id, request.mode, {}};
+  bool must_gather = false;
+  for (const grant_item& item : request.items) {
+    organisation_state* state = Find(item.organisation);
+    if (state == nullptr) {
+      continue;
+    }
+    request_mark& mark = state->last_request[borrower];
+    if (request.id <= mark.id) {
+      continue;
+    }
+    mark = {request.id, now};
+    state->account.Settle(now);
+    state->account.OnDeclared(borrower, item.tokens <= 0, item.permits, now);
+    if (request.mode == grant_mode::kTokens) {
+      state->demands[vm] = {item.tokens / TermSeconds(), item.permits, now};
+      must_gather =
+          must_gather || (item.tokens > 0 && NeedsGather(state, now) &&
+                          Gather(state, now, out));
+    }
+    taken.items.push_back(item);
+  }
+  if (must_gather) {
+    deferred_.push_back({vm, std::move(taken), now + kGatherWait});
+    next_wake_ = std::min(next_wake_, now + kGatherWait);
+  } else if (!taken.items.empty()) {
+    Answer(vm, taken, now, out);
+  }
+}
+
+bool contract_allocator::NeedsGather(organisation_state* state, instant now) {
+  if (directory_.home_of(state->name, now) != directory_.self) {
+    return false;
+  }
+  const loan_amount pool = state->account.Pool(now + kTokenTerm);
+  const double wanted =
+      std::min(PoolDemand(state, now), state->limits.rate_per_s * 0.9);
+  return pool.rate_per_s < wanted ||
+         pool.permits < PooledPermitsWanted(*state, now);
+}
+
+double contract_allocator::PoolDemand(organisation_state* state, instant now) {
+  double demand = state->demand.PerSecond(now);
+  for (const auto& [vm, remote] : state->demands) {
+    demand += remote.at > now - kTokenTerm ? remote.rate_per_s : 0;
+  }
+  return demand;
+}
+
+bool contract_allocator::IsPoolActive(organisation_state* state, instant now) {
+  for (const auto& [vm, remote] : state->demands) {
+    if (remote.at > now - kTokenTerm &&
+        (remote.rate_per_s > 0 || remote.permits > 0)) {
+      return true;
+    }
+  }
+  return state->last_call > now - std::chrono::seconds(1) &&
+         (WantedRate(state, 1.25, now) > 0 || WantedPermits(*state) > 0);
+}
+
+void contract_allocator::Answer(const std::string& vm,
+                                const grant_request& request, instant now,
+                                actions* out) {
+  const loan_party borrower{vm, request.mode,
+                            request.id >> kRequestCounterBits};
+  grant_reply reply;
+  reply.id = request.id;
+  for (const grant_item& item : request.items) {
+    organisation_state* state = Find(item.organisation);
+    // A newer request has overtaken a deferred one.
+    if (state == nullptr || state->last_request[borrower].id != request.id) {
+      continue;
+    }
+    state->account.Settle(now);
+    grant loan = request.mode == grant_mode::kShare
+                     ? LendShare(state, borrower, item, now)
+                     : LendFromPool(state, borrower, item, now);
+    if (loan.rate_per_s <= 0 && loan.burst <= 0 && loan.permits <= 0) {
+      continue;
+    }
+    loan.organisation = state->name;
+    reply.grants.push_back(std::move(loan));
+  }
+  out->push_back(send_message{vm, std::move(reply)});
+}
+
+grant contract_allocator::LendShare(organisation_state* state,
+                                    const loan_party& borrower,
+                                    const grant_item& item, instant now) {
+  const own_share& own = state->account.Share();
+  const double demand = state->demand.PerSecond(now);
+  double kept = FloorPart(own.cap);
+  if (demand > 0 && own.rate_per_s > 0) {
+    kept = std::max(kept, kOwnDemandHeadroom * demand / own.rate_per_s);
+    kept = own.cap >= 1 ? std::max(kept, 1 / own.cap) : kept;
+  }
+  kept = std::min(kept, 1.0);
+  loan_amount offer;
+  if (item.tokens > 0) {
+    offer.rate_per_s = own.rate_per_s * (1 - kept);
+    offer.cap = own.cap * (1 - kept);
+  }
+  const std::int64_t peak = std::max(state->peak_in_use, state->previous_peak);
+  offer.permits = std::min(item.permits, own.permits - peak);
+  return state->account.Lend(borrower, offer, own.cap * kept, kShareTerm, now);
+}
+
+grant contract_allocator::LendFromPool(organisation_state* state,
+                                       const loan_party& borrower,
+                                       const grant_item& item, instant now) {
+  const own_share& own = state->account.Share();
+  const loan_amount pool = state->account.Pool(now + kTokenTerm);
+  const double demand = item.tokens / TermSeconds();
+  const double all = std::max(PoolDemand(state, now), pool.rate_per_s);
+  const double part = all > 0 ? demand / all : 0;
+  const double floor = own.cap * FloorPart(own.cap);
+  loan_amount offer;
+  if (item.tokens > 0) {
+    offer.rate_per_s = pool.rate_per_s * part;
+    offer.cap =
+        std::max(pool.cap * part, std::min(kLeastLoanCap, pool.cap)) - floor;
+  }
+  offer.permits = item.permits;
+  return state->account.Lend(borrower, offer, floor, kTokenTerm, now);
+}
+
+void contract_allocator::AnswerDeferred(instant now, actions* out) {
+  std::vector<deferred_reply> waiting;
+  waiting.swap(deferred_);
+  for (deferred_reply& reply : waiting) {
+    const bool gathering =
+        std::any_of(reply.request.items.begin(), reply.request.items.end(),
+                    [&](const grant_item& item) {
+                      const organisation_state* state = Find(item.organisation);
+                      return state != nullptr && IsGathering(*state, now);
+                    });
+    if (gathering && now < reply.deadline) {
+      deferred_.push_back(std::move(reply));
+    } else {
+      Answer(reply.vm, reply.request, now, out);
+    }
+  }
+}
+
+std::uint64_t contract_allocator::ListHash() const {
+  std::string names;
+  for (const std::string& name : shares_.Listed()) {
+    names += name;
+    names += '\n';
+  }
+  return XXH64(names.data(), names.size(), 0) >> 1;  // Fits a signed integer.
+}
+
+void contract_allocator::SendStartChecks(instant now, actions* out) {
+  if (!start_check_ || !shares_.IsListed() || now >= permits_from_) {
+    return;
+  }
+  std::set<std::string> missing = shares_.Listed();
+  missing.erase(directory_.self);
+  for (const std::string& vm : confirmed_by_) {
+    missing.erase(vm);
+  }
+  if (missing.empty()) {
+    share_from_ = std::min(share_from_, now);
+    permits_from_ = now;
+    RefreshShares(now);
+    return;
+  }
+  if (start_checked_at_ > now - kStartCheckInterval) {
+    return;
+  }
+  start_checked_at_ = now;
+  batch items;
+  for (const std::string& vm : missing) {
+    grant_request check;
+    check.id = ++last_id_;
+    check.mode = grant_mode::kShare;
+    check.items.push_back({"", 0, static_cast<std::int64_t>(ListHash())});
+    pending_[check.id] = {{vm, grant_mode::kShare, 0}, now, false, {}};
+    out->push_back(send_message{vm, std::move(check)});
+  }
+}
+
+void contract_allocator::OnStartCheck(const std::string& vm,
+                                      const grant_request& request, instant now,
+                                      actions* out) {
+  // Replies of the asker's previous process must not be taken any more.
+  for (auto open = pending_.begin(); open != pending_.end();) {
+    const bool is_asker =
+        open->second.party.vm == vm && !open->second.organisations.empty();
+    open = is_asker ? pending_.erase(open) : std::next(open);
+  }
+  bool covered = true;
+  for (organisation_state* state : ordered_) {
+    state->account.Settle(now);
+    state->account.EndTerms(vm, now);
+    covered = covered && state->account.IsCoveredWithout(vm, now);
+  }
+  const bool same_list =
+      request.items.front().permits == static_cast<std::int64_t>(ListHash());
+  if (covered && same_list) {
+    out->push_back(send_message{vm, grant_reply{request.id, {}}});
+  }
+}
+
+}  // namespace pimentohall::core
--- /dev/null
+++ b/src/core/fleet_shares.cc
@@ -0,0 +1,48 @@
+#include "core/fleet_shares.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace pimentohall::core {
+
+void fleet_shares::SetVms(const config::vm_list& vms, instant now) {
+  const bool was_listed = IsListed();
+  for (const std::string& name : listed_) {
+    names_[name] = now + kMemory;
+  }
+  listed_.clear();
+  for (const config::vm& vm : vms.vms) {
+    listed_.insert(vm.name);
+    names_[vm.name] = instant::max();
+  }
+  if (IsListed() && !was_listed) {
+    listed_since_ = now;
+  }
+}
+
+bool fleet_shares::Expire(instant now) {
+  const std::size_t before = names_.size();
+  for (auto name = names_.begin(); name != names_.end();) {
+    name = name->second <= now ? names_.erase(name) : std::next(name);
+  }
+  return names_.size() != before;
+}
+
+std::int64_t fleet_shares::Permits(const std::string& organisation,
+                                   std::int64_t total) const {
+  const XXH64_hash_t salt = XXH64(organisation.data(), organisation.size(), 0);
+  const auto weight = [salt](const std::string& name) {
+    return std::make_pair(XXH64(name.data(), name.size(), salt), name);
+  };
+  const auto own = weight(self_);
+  std::int64_t rank = 0;
+  for (const auto& [name, until] : names_) {
+    rank += weight(name) > own ? 1 : 0;
+  }
+  const auto divisor = static_cast<std::int64_t>(names_.size());
+  return rank >= total || divisor == 0 ? 0
+                                       : (total - rank + divisor - 1) / divisor;
+}
+
+}  // namespace pimentohall::core
--- /dev/null
+++ b/src/core/token_bucket.h
@@ -0,0 +1,84 @@
+#ifndef PIMENTOHALL_CORE_TOKEN_BUCKET_H_
+#define PIMENTOHALL_CORE_TOKEN_BUCKET_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "pimentohall/core.h"
+
+namespace pimentohall::core {
+
+// A token bucket whose rate and cap change while it is in use. It starts empty.
+//
+// Invariant: 0 <= Level() <= Cap().
+class token_bucket {
+ public:
+  explicit token_bucket(instant now) : filled_at_(now) {}
+
+  double Level() const { return level_; }
+  double Rate() const { return rate_per_s_; }
+  double Cap() const { return cap_; }
+
+  // Adds the tokens of the time since the last call, at the current rate.
+  void Advance(instant now) {
+    if (now <= filled_at_) {
+      return;
+    }
+    const std::chrono::duration<double> elapsed = now - filled_at_;
+    filled_at_ = now;
+    level_ += rate_per_s_ * elapsed.count();
+    Clamp();
+  }
+
+  // Sets rate and cap from the time of the last `Advance` on. Tokens above the
+  // cap are lost.
+  void SetLimits(double rate_per_s, double cap) {
+    rate_per_s_ = std::max(0.0, rate_per_s);
+    cap_ = std::max(0.0, cap);
+    Clamp();
+  }
+
+  bool Take() {
+    if (level_ < 1) {
+      return false;
+    }
+    level_ -= 1;
+    ++refundable_;
+    return true;
+  }
+
+  void Add(double tokens) {
+    level_ += tokens;
+    Clamp();
+  }
+
+  void Remove(double tokens) { level_ = std::max(0.0, level_ - tokens); }
+
+  // Gives one token back. A token taken before the bucket was last full is not
+  // given back: without that call, the token would have been lost to the cap.
+  void Refund() {
+    if (refundable_ == 0) {
+      return;
+    }
+    --refundable_;
+    Add(1);
+  }
+
+ private:
+  void Clamp() {
+    if (level_ >= cap_) {
+      level_ = cap_;
+      refundable_ = 0;
+    }
+  }
+
+  instant filled_at_;
+  double rate_per_s_ = 0;
+  double cap_ = 0;
+  double level_ = 0;
+  std::int64_t refundable_ = 0;  // Tokens taken since the bucket was full.
+};
+
+}  // namespace pimentohall::core
+
+#endif  // PIMENTOHALL_CORE_TOKEN_BUCKET_H_
