--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -97,7 +97,8 @@
             incarnation, start) {}
 
   void SetConfig(const config::config_set& set, instant now) {
-    SetOrganisations(set.Organisations(), now);
+    SetOrganisations({set.Organisations().begin(), set.Organisations().end()},
+                     now);
   }
   void SetOrganisations(const std::vector<config::organisation>& organisations,
                         instant now);
--- a/testing/scenario_runner/main.cc
+++ b/testing/scenario_runner/main.cc
@@ -1,4 +1,4 @@
-// Runs scenario files: scenario_runner [--update-golden] FILE...
+// Runs scenario files: scenario_runner [--update-golden] [--measures] FILE...
 //
 // Exit codes: 0 every expectation holds, 1 one does not, 2 a file is faulty.
 // With a golden file of the same name the recorded session must equal it.
@@ -52,7 +52,7 @@
 }
 
 int RunFile(const fs::path& path, const scenario::deployments& deployments,
-            bool update_golden) {
+            bool update_golden, bool print_measures) {
   const auto run = scenario::Run(ReadFile(path), deployments);
   if (!run) {
     std::cout << path.string() << ":" << run.error().line << ": "
@@ -63,6 +63,11 @@
     std::cout << (e.holds ? "ok   " : "FAIL ") << path.filename().string()
               << ":" << e.line << ": " << e.text << " (is " << e.value << ")\n";
   }
+  if (print_measures) {
+    for (const auto& [name, value] : run->Measures()) {
+      std::cout << name << " " << value << "\n";
+    }
+  }
   const fs::path golden = path.parent_path().parent_path() / "golden" /
                           (path.stem().string() + ".txt");
   const bool same = MatchesGolden(golden, run->Session(), update_golden);
@@ -71,6 +76,7 @@
 
 int Main(int argc, char** argv) {
   bool update_golden = false;
+  bool print_measures = false;
   int worst = 0;
   scenario::deployments deployments;
   for (int i = 1; i < argc; ++i) {
@@ -79,6 +85,10 @@
       update_golden = true;
       continue;
     }
+    if (argument == "--measures") {
+      print_measures = true;
+      continue;
+    }
     const fs::path path = fs::absolute(argument);
     if (deployments.empty()) {
       const fs::path examples =
@@ -89,7 +99,8 @@
             ReadDeployment(entry.path());
       }
     }
-    worst = std::max(worst, RunFile(path, deployments, update_golden));
+    worst = std::max(worst,
+                     RunFile(path, deployments, update_golden, print_measures));
   }
   return worst;
 }
--- a/testing/sim/scenario.cc
+++ b/testing/sim/scenario.cc
@@ -455,6 +455,15 @@
     m["regressions"] = static_cast<double>(world_->Regressions());
     m["lowest_version"] = static_cast<double>(world_->LowestVersion());
     m["version"] = static_cast<double>(world_->PublishedVersion());
+    for (const auto& [id, call] : world_->Oracle().Calls()) {
+      const bool counted = call.answered && call.sent >= from_ &&
+                           call.sent <= to_ && call.why != core::reason::kNone;
+      if (counted) {
+        const std::string why = core::ReasonName(call.why);
+        m["reason." + why] += 1;
+        m["reason." + why + "." + call.organisation] += 1;
+      }
+    }
     m["source_reads"] = static_cast<double>(world_->Source().Reads());
     m["convergence_s"] = world_->LowestVersion() == world_->PublishedVersion()
                              ? Seconds(world_->ConvergedAt() - published_at_)
@@ -534,6 +543,10 @@
                      [](const expectation& e) { return e.holds; });
 }
 
+const std::map<std::string, double>& scenario::Measures() const {
+  return measures_;
+}
+
 double scenario::Measure(const std::string& name) const {
   const auto found = measures_.find(name);
   return found == measures_.end() ? 0 : found->second;
--- a/testing/sim/scenario.h
+++ b/testing/sim/scenario.h
@@ -59,7 +59,9 @@
   const std::string& Session() const { return session_; }
   bool Holds() const;
 
-  // Value of a measure at the end of the run.
+  // All measures at the end of the run.
+  const std::map<std::string, double>& Measures() const;
+  // Value of one of them; 0 if it is not there.
   double Measure(const std::string& name) const;
 
  private:
--- a/testing/sim/world.h
+++ b/testing/sim/world.h
@@ -109,6 +109,7 @@
   using vm_pair = std::pair<std::string, std::string>;
 
   node* Find(const std::string& vm);
+  static bool IsAccepting(const node& n);
   bool Reachable(const std::string& a, const std::string& b) const;
   core::duration Latency(const std::string& a, const std::string& b);
   void Deliver(const std::string& vm, std::uint64_t life, core::event event);
