--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -232,17 +232,25 @@
   return true;
 }
 
-void membership::Pick(const std::vector<std::string>& candidates, instant now,
-                      std::vector<std::string>* picked) const {
-  // Takes the first candidate that can be linked. Until it is linked, the
-  // first one that already is stays wanted too.
-  bool chosen = false;
-  for (const std::string& vm : candidates) {
-    if (Contains(*picked, vm) || !CanLink(vm, now)) continue;
-    const bool linked = HasLink(vm);
-    if (!chosen || linked) picked->push_back(vm);
-    chosen = true;
-    if (linked) return;
+void membership::Pick(const std::vector<const std::vector<std::string>*>& lists,
+                      instant now, std::vector<std::string>* picked) const {
+  std::vector<const std::vector<std::string>*> unlinked;
+  for (const std::vector<std::string>* candidates : lists) {
+    const auto best = std::find_if(
+        candidates->begin(), candidates->end(), [&](const std::string& vm) {
+          return !Contains(*picked, vm) && CanLink(vm, now);
+        });
+    if (best == candidates->end()) continue;
+    picked->push_back(*best);
+    if (!HasLink(*best)) unlinked.push_back(candidates);
+  }
+  // Until the best candidate is linked, the first one that is stays wanted.
+  for (const std::vector<std::string>* candidates : unlinked) {
+    const auto substitute = std::find_if(
+        candidates->begin(), candidates->end(), [&](const std::string& vm) {
+          return !Contains(*picked, vm) && HasLink(vm) && CanLink(vm, now);
+        });
+    if (substitute != candidates->end()) picked->push_back(*substitute);
   }
 }
 
@@ -257,16 +265,20 @@
 
 void membership::PickReaderLinks(instant now,
                                  std::vector<std::string>* picked) const {
+  std::vector<const std::vector<std::string>*> lists;
   for (const std::vector<std::string>& candidates : topology_->ZoneLinks()) {
-    Pick(candidates, now, picked);
+    lists.push_back(&candidates);
   }
+  Pick(lists, now, picked);
 }
 
 void membership::PickParents(instant now,
                              std::vector<std::string>* picked) const {
+  std::vector<const std::vector<std::string>*> lists;
   for (std::size_t tree = 0; tree < topology::kTrees; ++tree) {
-    Pick(topology_->Parents(tree), now, picked);
+    lists.push_back(&topology_->Parents(tree));
   }
+  Pick(lists, now, picked);
 }
 
 void membership::PickKept(instant now, std::vector<std::string>* picked) const {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -113,8 +113,9 @@
   // True if a link to `vm` is worth keeping or dialling now.
   bool CanLink(const std::string& vm, instant now) const;
   bool IsBelievedUp(const std::string& vm, instant now) const;
-  void Pick(const std::vector<std::string>& candidates, instant now,
-            std::vector<std::string>* picked) const;
+  // Picks one VM from each list of candidates.
+  void Pick(const std::vector<const std::vector<std::string>*>& lists,
+            instant now, std::vector<std::string>* picked) const;
   void PickBootstrapPeers(instant now, std::vector<std::string>* picked) const;
   void PickReaderLinks(instant now, std::vector<std::string>* picked) const;
   void PickParents(instant now, std::vector<std::string>* picked) const;
--- a/src/core/topology.cc
+++ b/src/core/topology.cc
@@ -1,7 +1,6 @@
 #include "core/topology.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 #include "core/rendezvous.h"
@@ -35,7 +34,7 @@
 
 topology::topology(const config::vm_list& list, const std::string& vm,
                    const std::string& zone) {
-  const auto live = LiveByZone(list);
+  vms_by_zone live = LiveByZone(list);
   const auto own = live.find(zone);
   if (own != live.end()) {
     RankReaders(own->second, vm);
@@ -43,7 +42,7 @@
       FindParents(tree, own->second, vm);
     }
   }
-  FindZoneLinks(list, zone);
+  FindZoneLinks(std::move(live), zone);
 }
 
 void topology::RankReaders(std::vector<std::string> live,
@@ -82,9 +81,7 @@
   }
 }
 
-void topology::FindZoneLinks(const config::vm_list& list,
-                             const std::string& zone) {
-  auto live = LiveByZone(list);
+void topology::FindZoneLinks(vms_by_zone live, const std::string& zone) {
   std::vector<std::string> ring;
   for (auto& [name, vms] : live) {
     SortByWeight(kReaderSalt, &vms);
--- a/src/core/topology.h
+++ b/src/core/topology.h
@@ -2,6 +2,7 @@
 #define PIMENTOHALL_CORE_TOPOLOGY_H_
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -51,10 +52,12 @@
   }
 
  private:
+  using vms_by_zone = std::map<std::string, std::vector<std::string>>;
+
   void RankReaders(std::vector<std::string> live, const std::string& vm);
   void FindParents(std::size_t tree, std::vector<std::string> live,
                    const std::string& vm);
-  void FindZoneLinks(const config::vm_list& list, const std::string& zone);
+  void FindZoneLinks(vms_by_zone live, const std::string& zone);
 
   std::vector<std::string> readers_;
   std::size_t reader_rank_ = 0;
