--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -335,7 +335,7 @@
 
   // `done` is called once, never from inside `Start`, unless the request is
   // cancelled first.
-  request_id Start(http_request request, handler done);
+  request_id Start(const http_request& request, handler done);
   // Closes the request's connection; `done` isn't called. True if a byte of the
   // request was written.
   bool Cancel(request_id request);
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -49,14 +49,14 @@
   event_base* Base() const { return base_.get(); }
 
  private:
-  static void RunPosted(evutil_socket_t, short, void* self) {
+  static void RunPosted(evutil_socket_t, std::int16_t, void* self) {
     // Only what is queued now: a task that posts another one must let the
     // sockets have their turn.
     auto tasks = std::move(static_cast<impl*>(self)->posted_);
     static_cast<impl*>(self)->posted_.clear();
     for (auto& task : tasks) task();
   }
-  static void OnSignalEvent(evutil_socket_t, short, void* entry) {
+  static void OnSignalEvent(evutil_socket_t, std::int16_t, void* entry) {
     static_cast<signal_entry*>(entry)->handler();
   }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -117,7 +117,7 @@
     for (auto& [id, running] : exchanges_) running->timer.disconnect();
   }
 
-  request_id Start(http_request request, handler done) {
+  request_id Start(const http_request& request, handler done) {
     const request_id id = ++last_id_;
     auto running = std::make_unique<exchange>();
     running->client = this;
@@ -131,8 +131,8 @@
     exchanges_[id] = std::move(running);
     if (!Write(started, request)) {
       loop_.Post([this, id, alive = std::weak_ptr<int>(alive_)] {
-        if (!alive.expired())
-          Finish(id, tl::unexpected(http_failure::kNotSent));
+        if (alive.expired()) return;
+        Finish(id, tl::unexpected(http_failure::kNotSent));
       });
     }
     return id;
@@ -358,8 +358,9 @@
     : impl_(std::make_unique<impl>(loop, timers, connections_per_target)) {}
 http_client::~http_client() = default;
 
-http_client::request_id http_client::Start(http_request request, handler done) {
-  return impl_->Start(std::move(request), std::move(done));
+http_client::request_id http_client::Start(const http_request& request,
+                                           handler done) {
+  return impl_->Start(request, std::move(done));
 }
 bool http_client::Cancel(request_id request) { return impl_->Cancel(request); }
 void http_client::KeepOnly(const std::vector<endpoint>& targets) {
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -80,8 +80,9 @@
     if (value.size() > kScheme.size() &&
         evutil_ascii_strncasecmp(value.c_str(), kScheme.data(),
                                  kScheme.size()) == 0) {
-      digest =
-          config::Sha256Hex(std::string_view(value).substr(kScheme.size()));
+      std::string_view key = value;
+      key.remove_prefix(kScheme.size());
+      digest = config::Sha256Hex(key);
     }
     OPENSSL_cleanse(value.data(), value.size());
     value.clear();
--- a/src/net/link_connection.cc
+++ b/src/net/link_connection.cc
@@ -27,7 +27,7 @@
       websocket_(server->get_connection()) {
   Prepare();
   websocket_->set_validate_handler(
-      [this](websocketpp::connection_hdl) { return Validate(); });
+      [this](const websocketpp::connection_hdl&) { return Validate(); });
   websocket_->start();
 }
 
@@ -77,18 +77,19 @@
 }
 
 void link_connection::Prepare() {
-  websocket_->set_write_handler(
-      [this](websocketpp::connection_hdl, const char* bytes, std::size_t size) {
-        if (stream_) bufferevent_write(stream_.get(), bytes, size);
-        return websocketpp::lib::error_code();
-      });
+  websocket_->set_write_handler([this](const websocketpp::connection_hdl&,
+                                       const char* bytes, std::size_t size) {
+    if (stream_) bufferevent_write(stream_.get(), bytes, size);
+    return websocketpp::lib::error_code();
+  });
   websocket_->set_open_handler(
-      [this](websocketpp::connection_hdl) { OnWebsocketOpen(); });
-  websocket_->set_fail_handler([this](websocketpp::connection_hdl) { Fail(); });
+      [this](const websocketpp::connection_hdl&) { OnWebsocketOpen(); });
+  websocket_->set_fail_handler(
+      [this](const websocketpp::connection_hdl&) { Fail(); });
   websocket_->set_close_handler(
-      [this](websocketpp::connection_hdl) { Fail(); });
+      [this](const websocketpp::connection_hdl&) { Fail(); });
   websocket_->set_message_handler(
-      [this](websocketpp::connection_hdl,
+      [this](const websocketpp::connection_hdl&,
              const websocket_server::message_ptr& message) {
         if (state_ == state::kOpen) {
           owner_->OnFrame(this, message->get_payload());
--- a/src/net/link_service.cc
+++ b/src/net/link_service.cc
@@ -375,7 +375,7 @@
 
   bool Take(link_connection* connection, cancel_frame&& frame) {
     if (connection->IsDialled()) return false;
-    const std::string vm = connection->PeerVm();
+    const std::string& vm = connection->PeerVm();
     // An answer may have crossed the cancellation.
     if (peer_calls_.erase({vm, frame.attempt}) != 0) {
       owner_->on_cancel({vm, frame.attempt});
@@ -385,7 +385,7 @@
 
   bool Take(link_connection* connection, answer_frame&& frame) {
     if (!connection->IsDialled()) return false;
-    const std::string vm = connection->PeerVm();
+    const std::string& vm = connection->PeerVm();
     peer& from = peers_[vm];
     // A cancellation may have crossed the answer.
     if (from.sent.erase(frame.attempt) == 0) return true;
--- a/src/net/request_check.cc
+++ b/src/net/request_check.cc
@@ -123,8 +123,8 @@
   // An upstream may resolve "..", which would lead out of the route that the
   // contract allows.
   const std::string_view target = head.target;
-  if (config::HasDotSegment(target.substr(0, target.find('?'))))
-    return "dot segment in the path";
+  const std::string_view path = target.substr(0, target.find('?'));
+  if (config::HasDotSegment(path)) return "dot segment in the path";
   if (const char* problem = FindHeaderProblem(head.headers)) return problem;
   if (const char* problem = FindLengthProblem(head.headers)) return problem;
   const int hosts = CountHeader(head.headers, "Host");
--- a/src/net/source_client.cc
+++ b/src/net/source_client.cc
@@ -35,7 +35,7 @@
     request.target = settings_.addresses[address];
     request.path = Path(action);
     request.timeout = action.wait + action.wait / 16 + kAnswerTime;
-    client_.Start(std::move(request), [this, action, address](auto end) {
+    client_.Start(request, [this, action, address](auto end) {
       if (auto value = Convert(action, end)) {
         owner_->on_value(std::move(*value));
         return;
--- a/src/net/upstream_client.cc
+++ b/src/net/upstream_client.cc
@@ -93,7 +93,7 @@
     request.body = message.body;
     request.timeout = action.info.remaining;
     const call_key key(action.vm, action.attempt);
-    running_[key] = calls_.Start(std::move(request), [this, key](auto end) {
+    running_[key] = calls_.Start(request, [this, key](auto end) {
       running_.erase(key);
       Report(key, std::move(end));
     });
@@ -173,7 +173,7 @@
     request.path = path;
     request.timeout = kProbeTimeout;
     const std::string name = watched->report.upstream;
-    probes_.Start(std::move(request), [this, name, step](const auto& end) {
+    probes_.Start(request, [this, name, step](const auto& end) {
       const auto found = watched_.find(name);
       if (found == watched_.end() || found->second.waiting == 0) return;
       step(&found->second, end);
--- /dev/null
+++ b/testing/unit/host_test.cc
@@ -0,0 +1,290 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "net_harness.h"
+
+namespace pimentohall::net {
+namespace {
+
+// An engine that does what the test says.
+class scripted_engine : public decision_engine {
+ public:
+  struct script {
+    std::function<core::actions(const core::event&)> on_event;
+    std::vector<std::string> events;  // Names of events, in order.
+    core::instant wake = core::instant::max();
+    bool ready = true;
+  };
+  explicit scripted_engine(script* script) : script_(script) {}
+
+  core::actions Handle(const core::event& event, core::instant now) override {
+    if (script_->wake <= now) script_->wake = core::instant::max();
+    script_->events.emplace_back(Name(event));
+    return script_->on_event ? script_->on_event(event) : core::actions{};
+  }
+  core::instant NextWake() const override { return script_->wake; }
+  bool IsReady() const override { return script_->ready; }
+  std::shared_ptr<const config::config_set> Set() const override { return {}; }
+  core::counters Counters() const override {
+    core::counters counters;
+    counters.calls = 7;
+    return counters;
+  }
+  std::string Dump(core::instant) const override { return "{\"dump\":1}"; }
+  std::string Explain(const core::call_arrived& call,
+                      core::instant) const override {
+    return call.method + " " + call.path + " " + call.key_digest;
+  }
+
+ private:
+  static const char* Name(const core::event& event) {
+    static constexpr const char* kNames[] = {"tick",
+                                             "call_arrived",
+                                             "call_cancelled",
+                                             "peer_answer",
+                                             "forward_failed",
+                                             "peer_call",
+                                             "peer_cancel",
+                                             "upstream_answered",
+                                             "upstream_failed",
+                                             "upstream_report",
+                                             "link_up",
+                                             "link_down",
+                                             "call_link_down",
+                                             "message_received",
+                                             "source_value",
+                                             "source_failed",
+                                             "begin_stop"};
+    static_assert(std::size(kNames) == std::variant_size_v<core::event>);
+    return kNames[event.index()];
+  }
+  script* script_;
+};
+
+// Relays every call to the upstream on `port` beside daemon `egress`.
+core::actions Relay(const core::event& event, const std::string& egress,
+                    int port) {
+  if (const auto* call = std::get_if<core::call_arrived>(&event)) {
+    core::forward_call forward{call->call, 100 + call->call, egress, {}};
+    forward.info.method = call->method;
+    forward.info.path = call->path;
+    forward.info.remaining = std::chrono::seconds(10);
+    return {forward};
+  }
+  if (const auto* call = std::get_if<core::peer_call>(&event)) {
+    core::start_upstream_call start{call->vm, call->attempt, {}, call->info};
+    start.upstream.address = "127.0.0.1";
+    start.upstream.port = port;
+    return {start};
+  }
+  if (const auto* answer = std::get_if<core::upstream_answered>(&event)) {
+    return {core::answer_peer{answer->vm,
+                              answer->attempt,
+                              core::outcome_kind::kAnswered,
+                              core::reason::kNone,
+                              answer->http_status,
+                              {}}};
+  }
+  if (const auto* answer = std::get_if<core::peer_answer>(&event)) {
+    core::answer_call end;
+    end.call = answer->attempt - 100;
+    end.attempt = answer->attempt;
+    end.outcome = answer->outcome;
+    end.http_status = answer->http_status;
+    return {end};
+  }
+  if (const auto* cancelled = std::get_if<core::call_cancelled>(&event)) {
+    return {core::cancel_forward{egress, 100 + cancelled->call}};
+  }
+  if (const auto* cancel = std::get_if<core::peer_cancel>(&event)) {
+    return {core::cancel_upstream_call{cancel->vm, cancel->attempt}};
+  }
+  return {};
+}
+
+struct daemon {
+  daemon(net_harness& net, const std::string& vm) {
+    daemon_settings settings;
+    settings.vm = vm;
+    settings.zone = "z";
+    host = std::make_unique<daemon_host>(
+        net.loop, settings, std::make_unique<scripted_engine>(&script));
+    const auto listening = host->Listen();
+    REQUIRE(listening);
+    ports = *listening;
+  }
+  bool Saw(const std::string& event) const {
+    return std::find(script.events.begin(), script.events.end(), event) !=
+           script.events.end();
+  }
+  scripted_engine::script script;
+  std::unique_ptr<daemon_host> host;
+  daemon_host::ports ports;
+};
+
+void AnswerEcho(raw_server* upstream) {
+  upstream->on_read = [](raw_stream* stream) {
+    if (!stream->Has("\r\n\r\nask")) return;
+    stream->received.clear();
+    stream->Write(
+        "HTTP/1.1 201 Created\r\nContent-Length: 4\r\nX: y\r\n\r\ntold");
+  };
+}
+
+constexpr char kAsk[] =
+    "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nask";
+
+// Guards against bodies that get lost or mixed up on the way through the host.
+TEST_CASE("a call through one daemon") {
+  net_harness net;
+  raw_server upstream(net);
+  AnswerEcho(&upstream);
+  daemon a(net, "a");
+  a.script.on_event = [&](const core::event& event) {
+    return Relay(event, "a", upstream.port);
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("told"); }));
+  CHECK(caller.Has("HTTP/1.1 201"));
+  CHECK(caller.Has("X: y\r\n"));
+  CHECK(a.script.events ==
+        std::vector<std::string>{"tick", "call_arrived", "peer_call",
+                                 "upstream_answered", "peer_answer"});
+}
+
+// Guards against the same between two daemons, and a caller's leaving that
+// doesn't reach the upstream.
+TEST_CASE("a call through two daemons, and its cancellation") {
+  net_harness net;
+  raw_server upstream(net);
+  AnswerEcho(&upstream);
+  daemon a(net, "a");
+  daemon b(net, "b");
+  const auto vms = std::make_shared<config::vm_list>();
+  vms->vms = {{"b", "z", "127.0.0.1", 0, b.ports.link, {}}};
+  a.script.on_event = [&](const core::event& event) {
+    if (std::holds_alternative<core::tick>(event)) {
+      return core::actions{core::config_in_force{nullptr, vms}};
+    }
+    return Relay(event, "b", 0);
+  };
+  b.script.on_event = [&](const core::event& event) {
+    return Relay(event, "b", upstream.port);
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("told"); }));
+  CHECK(caller.Has("HTTP/1.1 201"));
+
+  upstream.on_read = [](raw_stream*) {};
+  upstream.streams[0]->on_read = upstream.on_read;
+  raw_stream leaving(net, a.ports.http);
+  leaving.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return upstream.streams[0]->Has("ask"); }));
+  leaving.Close();
+  REQUIRE(net.RunUntil([&] { return upstream.streams[0]->closed; }));
+  CHECK(b.Saw("peer_cancel"));
+  REQUIRE(net.RunUntil([&] { return b.Saw("upstream_failed"); }));
+}
+
+// Guards against a forward to a VM without an address that waits forever.
+TEST_CASE("a forward without an address fails") {
+  net_harness net;
+  daemon a(net, "a");
+  a.script.on_event = [&](const core::event& event) {
+    if (std::holds_alternative<core::forward_failed>(event)) {
+      core::answer_call end;
+      end.call = 1;
+      end.why = core::reason::kPeerLost;
+      end.http_status = 503;
+      return core::actions{end};
+    }
+    return Relay(event, "nowhere", 0);
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("}"); }));
+  CHECK(caller.Has("HTTP/1.1 503"));
+  CHECK(caller.Has("\"reason\":\"peer_lost\",\"not_run\":true"));
+}
+
+// Guards against an engine that isn't woken, and a paused daemon that takes a
+// call before what fell due.
+TEST_CASE("the engine is woken in time and before any call") {
+  net_harness net;
+  daemon a(net, "a");
+  REQUIRE(net.RunUntil([&] { return a.Saw("tick"); }));
+  a.script.events.clear();
+  raw_stream caller(net, a.ports.http);
+  a.script.wake = net.loop.Now() - std::chrono::seconds(1);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return a.Saw("call_arrived"); }));
+  CHECK(a.script.events == std::vector<std::string>{"tick", "call_arrived"});
+  a.script.wake = net.loop.Now() + std::chrono::milliseconds(20);
+  a.script.events.clear();
+  caller.Close();
+  REQUIRE(net.RunUntil([&] { return a.Saw("tick"); }));
+}
+
+// Guards against pages that are missing or not what operators expect.
+TEST_CASE("admin pages") {
+  net_harness net;
+  daemon a(net, "a");
+  const auto get = [&](const std::string& path) {
+    raw_stream reader(net, a.ports.admin);
+    reader.Write("GET " + path +
+                 " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    REQUIRE(net.RunUntil([&] { return reader.closed; }));
+    return reader.received;
+  };
+  const auto has = [&](const std::string& path, const char* text) {
+    return get(path).find(text) != std::string::npos;
+  };
+  CHECK(has("/healthz", "HTTP/1.1 200"));
+  CHECK(has("/readyz", "HTTP/1.1 200"));
+  CHECK(has("/state", "{\"dump\":1}"));
+  CHECK(has("/config", "{\"version\":0}"));
+  CHECK(has("/explain?method=GET&path=%2Fa%3Fb&key_sha256=ff", "GET /a?b ff"));
+  CHECK(has("/explain", "HTTP/1.1 200"));
+  CHECK(has("/metrics", "pimentohall_calls_total 7\n"));
+  CHECK(has("/metrics", "pimentohall_ready 1\n"));
+  CHECK(has("/other", "HTTP/1.1 404"));
+  CHECK(has("//x:y/", "HTTP/1.1 4"));
+  a.script.ready = false;
+  CHECK(has("/readyz", "HTTP/1.1 503"));
+  CHECK(has("/metrics", "pimentohall_ready 0\n"));
+}
+
+// Guards against a stop that cuts the running call, or never ends.
+TEST_CASE("a planned stop finishes the running call and ends the loop") {
+  net_harness net;
+  raw_server upstream(net);
+  daemon a(net, "a");
+  raw_stream* waiting = nullptr;
+  upstream.on_read = [&](raw_stream* stream) {
+    waiting = stream;
+    a.host->BeginStop();
+    stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntold");
+  };
+  a.script.on_event = [&](const core::event& event) {
+    core::actions actions = Relay(event, "a", upstream.port);
+    if (std::holds_alternative<core::peer_answer>(event)) {
+      actions.emplace_back(core::stop_finished{});
+    }
+    return actions;
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  sigc::connection watchdog = net.timers.After(
+      std::chrono::seconds(20), sigc::slot<void()>([&] { net.loop.Stop(); }));
+  net.loop.Run();
+  CHECK(watchdog.connected());
+  CHECK(a.Saw("begin_stop"));
+  CHECK(caller.Has("told"));
+  CHECK(caller.Has("Connection: close"));
+}
+
+}  // namespace
+}  // namespace pimentohall::net
--- a/testing/unit/http_front_test.cc
+++ b/testing/unit/http_front_test.cc
@@ -139,7 +139,9 @@
        "GET / HTTP/1.1\r\nHost: h\r\nX-Pimentohall-Retry: 1\r\n\r\n"},
   };
   front_fixture f;
-  for (const auto& [name, bytes] : rows) {
+  for (const auto& entry : rows) {
+    const auto& name = entry.first;
+    const auto& bytes = entry.second;
     CAPTURE(name);
     raw_stream client(f.net, f.port);
     client.Write(bytes + smuggled);
@@ -195,7 +197,9 @@
       {head + std::string(1900, 'h') + "\r\n\r\n", "HTTP/1.1 200"},
       {head + std::string(2100, 'h') + "\r\n\r\n", "HTTP/1.1 4"},
   };
-  for (const auto& [bytes, status] : rows) {
+  for (const auto& entry : rows) {
+    const auto& bytes = entry.first;
+    const auto& status = entry.second;
     CAPTURE(bytes.size());
     raw_stream client(f.net, f.port);
     client.Write(bytes);
--- a/testing/unit/link_test.cc
+++ b/testing/unit/link_test.cc
@@ -19,27 +19,31 @@
 struct node {
   node(net_harness& net, const std::string& name, link_options options)
       : vm(name), links(net.loop, net.timers, std::move(options)) {
-    links.on_link_up = [this](core::link_up up) { Add("up " + up.vm); };
-    links.on_link_down = [this](core::link_down d) { Add("down " + d.vm); };
-    links.on_message = [this](core::message_received m) {
+    links.on_link_up = [this](const core::link_up& up) { Add("up " + up.vm); };
+    links.on_link_down = [this](const core::link_down& d) {
+      Add("down " + d.vm);
+    };
+    links.on_message = [this](const core::message_received& m) {
       Add("message " + m.vm + " " +
           std::get<core::status_message>(m.body).config_digest);
     };
-    links.on_call = [this](core::peer_call call, http_message request) {
+    links.on_call = [this](const core::peer_call& call,
+                           const http_message& request) {
       Add("call " + call.vm + " " + std::to_string(call.attempt) + " " +
           call.info.path + " " + *request.body);
     };
-    links.on_cancel = [this](core::peer_cancel c) {
+    links.on_cancel = [this](const core::peer_cancel& c) {
       Add("cancel " + c.vm + " " + std::to_string(c.attempt));
     };
-    links.on_answer = [this](core::peer_answer a, http_answer body) {
+    links.on_answer = [this](const core::peer_answer& a,
+                             const http_answer& body) {
       Add("answer " + a.vm + " " + std::to_string(a.attempt) + " " +
           std::to_string(a.http_status) + " " + *body.body);
     };
-    links.on_forward_failed = [this](core::forward_failed f) {
+    links.on_forward_failed = [this](const core::forward_failed& f) {
       Add("failed " + std::to_string(f.attempt));
     };
-    links.on_call_link_down = [this](core::call_link_down d) {
+    links.on_call_link_down = [this](const core::call_link_down& d) {
       Add("calls down " + d.vm);
     };
     const auto listening = links.Listen();
@@ -150,7 +154,9 @@
                                               {"silent", silent.port},
                                               {"refusing", refusing.port},
                                               {"not c", c.port}};
-  for (const auto& [vm, port] : rows) {
+  for (const auto& entry : rows) {
+    const auto& vm = entry.first;
+    const auto& port = entry.second;
     CAPTURE(vm);
     a.lines.clear();
     a.links.Open({vm, "127.0.0.1", port});
@@ -301,7 +307,9 @@
       {"/v1/calls", MaskedFrame("\x81\x81\x81")},
       {"/v1/calls", MaskedFrame(EncodeFrame(answer_frame{}))},
   };
-  for (const auto& [path, bytes] : rows) {
+  for (const auto& entry : rows) {
+    const auto& path = entry.first;
+    const auto& bytes = entry.second;
     CAPTURE(path);
     raw_stream stranger(net, b.port);
     stranger.Write(Handshake(path, "x"));
--- a/testing/unit/source_client_test.cc
+++ b/testing/unit/source_client_test.cc
@@ -13,8 +13,12 @@
   }
   void Connect() {
     client = std::make_unique<source_client>(net.loop, net.timers, settings);
-    client->on_value = [this](core::source_value v) { values.push_back(v); };
-    client->on_failed = [this](core::source_failed f) { failed.push_back(f); };
+    client->on_value = [this](const core::source_value& v) {
+      values.push_back(v);
+    };
+    client->on_failed = [this](const core::source_failed& f) {
+      failed.push_back(f);
+    };
   }
   void Answer(raw_server* server, const std::string& bytes) {
     server->on_read = [this, server, bytes](raw_stream* stream) {
@@ -60,7 +64,9 @@
       {ReadOf(core::source_key::kPart),
        "GET /v1/kv/mesh/prod/parts/abc?raw HTTP/1.1\r\n"},
   };
-  for (const auto& [action, line] : rows) {
+  for (const auto& entry : rows) {
+    const auto& action = entry.first;
+    const auto& line = entry.second;
     CAPTURE(line);
     source_fixture f;
     f.Answer(&f.first,
@@ -104,7 +110,9 @@
        kind::kFailure},
       {"nonsense\r\n\r\n", kind::kFailure},
   };
-  for (const auto& [bytes, want] : rows) {
+  for (const auto& entry : rows) {
+    const auto& bytes = entry.first;
+    const auto& want = entry.second;
     CAPTURE(bytes.substr(0, 80));
     source_fixture f;
     f.Answer(&f.first, bytes);
--- a/testing/unit/tls_fixture.h
+++ b/testing/unit/tls_fixture.h
@@ -40,8 +40,8 @@
   tls_files Issue(const std::string& name) {
     const key_ptr key(EVP_EC_gen("P-256"));
     const x509_ptr made = Certify(name, key.get(), ca_.get());
-    const tls_files files = {folder_ / (name + ".pem"),
-                             folder_ / (name + ".key"), folder_ / "ca.pem"};
+    tls_files files = {folder_ / (name + ".pem"), folder_ / (name + ".key"),
+                       folder_ / "ca.pem"};
     WriteCertificate(files.certificate, made.get());
     FILE* file = std::fopen(files.key.c_str(), "w");
     PEM_write_PrivateKey(file, key.get(), nullptr, nullptr, 0, nullptr,
--- a/testing/unit/upstream_client_test.cc
+++ b/testing/unit/upstream_client_test.cc
@@ -9,12 +9,15 @@
 
 struct client_fixture {
   client_fixture() : server(net), client(net.loop, net.timers) {
-    client.on_answered = [this](core::upstream_answered a, http_answer body) {
+    client.on_answered = [this](const core::upstream_answered& a,
+                                http_answer body) {
       answered.push_back(a);
       bodies.push_back(std::move(body));
     };
-    client.on_failed = [this](core::upstream_failed f) { failed.push_back(f); };
-    client.on_report = [this](core::upstream_report r) {
+    client.on_failed = [this](const core::upstream_failed& f) {
+      failed.push_back(f);
+    };
+    client.on_report = [this](const core::upstream_report& r) {
       reports.push_back(r);
     };
   }
@@ -100,7 +103,9 @@
       {"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", true},
       {"HTTP/1.1 200 OK\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", false},
   };
-  for (const auto& [bytes, shed] : rows) {
+  for (const auto& entry : rows) {
+    const auto& bytes = entry.first;
+    const auto& shed = entry.second;
     CAPTURE(bytes);
     client_fixture f;
     f.AnswerWith(bytes);
--- a/testing/unit/wire_test.cc
+++ b/testing/unit/wire_test.cc
@@ -138,7 +138,9 @@
       {"long text", Cbor(json::array({6, std::string(70000, 'a'), 1}))},
       {"map in a frame", Cbor(json::array({6, json{{"a", 1}}, 1}))},
   };
-  for (const auto& [name, bytes] : rows) {
+  for (const auto& entry : rows) {
+    const auto& name = entry.first;
+    const auto& bytes = entry.second;
     CAPTURE(name);
     CHECK_FALSE(DecodeMessage(bytes));
     CHECK_FALSE(DecodeFrame(bytes));
