Keep an engine that is always due from starving sockets

Cause: timers go before sockets. While a daemon waited for parts from the source, its engine asked to be woken at once each time, and the loop served no socket, the awaited answers included, for 10 s.

Change: the host wakes the engine at most once a millisecond.

Before/after: the new test fails without the change.

Conclusion: a due engine can be up to 1 ms late, which no deadline notices.

--- a/src/net/daemon_host.cc
+++ b/src/net/daemon_host.cc
@@ -24,6 +24,10 @@
 
 // A planned stop waits this long for answers to be read by their callers.
 constexpr auto kFlushTime = std::chrono::seconds(5);
+// Timers go before sockets. An engine that asks again and again to be woken at
+// once would keep the sockets, and so what it waits for, from ever being
+// served.
+constexpr auto kMinWakeDelay = std::chrono::milliseconds(1);
 
 http_answer TextPage(int status, std::string text, const char* type) {
   return {status, {{"Content-Type", type}}, ShareBytes(std::move(text))};
@@ -231,7 +235,7 @@
     wake_timer_.disconnect();
     armed_ = wake;
     const core::duration delay =
-        std::max(wake - loop_.Now(), core::duration(0));
+        std::max<core::duration>(wake - loop_.Now(), kMinWakeDelay);
     wake_timer_ = timers_.After(delay, sigc::slot<void()>([this] {
                                   armed_ = core::instant::max();
                                   if (engine_->NextWake() <= loop_.Now()) {
--- a/testing/unit/host_test.cc
+++ b/testing/unit/host_test.cc
@@ -228,6 +228,22 @@
   REQUIRE(net.RunUntil([&] { return a.Saw("tick"); }));
 }
 
+// Guards against an engine that always wants to be woken at once and so keeps
+// sockets from being served.
+TEST_CASE("an engine that is always due doesn't starve callers") {
+  net_harness net;
+  raw_server upstream(net);
+  AnswerEcho(&upstream);
+  daemon a(net, "a");
+  a.script.on_event = [&](const core::event& event) {
+    a.script.wake = core::instant{};
+    return Relay(event, "a", upstream.port);
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("told"); }));
+}
+
 // Guards against pages that are missing or not what operators expect.
 TEST_CASE("admin pages") {
   net_harness net;
