--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -283,8 +283,7 @@
   for (const source_watch* watch : {&manifest_watch_, &vms_watch_}) {
     next_wake_ = std::min(next_wake_, watch->NextWake());
   }
-  const bool parts_wait = !store_->MissingParts().empty();
-  if (parts_wait) {
+  if (part_waits_for_token_) {
     next_wake_ = std::min(
         next_wake_, std::max(part_read_tokens_.TokenAt(), now + duration(1)));
   }
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -213,6 +213,9 @@
   source_watch vms_watch_;
   std::map<std::string, part_read> part_reads_;
   rate_limit part_read_tokens_;
+  // Some part is to be read as soon as a token is there. Parts that are being
+  // read or fetched need no wake-up of their own.
+  bool part_waits_for_token_ = false;
   std::optional<instant> confirmed_;      // By any way.
   std::optional<instant> own_confirmed_;  // By an own read.
   std::optional<instant> unconfirmed_since_;
--- a/src/core/distribution_source.cc
+++ b/src/core/distribution_source.cc
@@ -154,7 +154,11 @@
   const bool from_peers = !holders.empty() && !fetcher_.IsHopeless(blob_id(
                                                   blob_kind::kPart, digest));
   if (from_peers) return false;
-  if (reader) return part_read_tokens_.Take(now);
+  if (reader) {
+    const bool taken = part_read_tokens_.Take(now);
+    part_waits_for_token_ = part_waits_for_token_ || !taken;
+    return taken;
+  }
   // The peers may be between two versions.
   if (!direct_ && now - staged_progress_ < kDeferredWait) return false;
   if (now < next_direct_) return false;
@@ -170,6 +174,7 @@
     if (it != part_reads_.end()) kept.insert(*it);
   }
   part_reads_ = std::move(kept);
+  part_waits_for_token_ = false;
   const bool reader = members_->IsReader(now);
   for (const config::part_ref& part : missing) {
     const auto it = part_reads_.find(part.sha256);
--- a/testing/sim/world.h
+++ b/testing/sim/world.h
@@ -94,8 +94,8 @@
   // Time at which the last node had the published version in force.
   core::instant ConvergedAt() const { return converged_at_; }
   std::uint64_t CutByPlannedStop() const { return cut_by_planned_stop_; }
-  // Events after which an engine wanted to be woken at once, although its timers
-  // had just run: such an engine keeps a processor busy.
+  // Events after which an engine wanted to be woken at once, although its
+  // timers had just run: such an engine keeps a processor busy.
   std::uint64_t BusyWakes() const { return busy_wakes_; }
   std::string Dump(const std::string& vm) const;
 
