Make a changed contract cost little more in a large set

Cause: assembling from a previous set searched every listed part twice, and the reader built the text of known fields for every object.

Change: parts are found by walking the previous list beside the manifest; only newly parsed contracts are checked when the services are the same; the reader builds lists of known fields only for a fault.

--- a/src/config/assemble.cc
+++ b/src/config/assemble.cc
@@ -76,39 +76,62 @@
   return ParsePart(ref, bytes);
 }
 
-// The part of `data` that equals `ref`, or null.
-shared_part FindPart(const set_data& data, const part_ref& ref) {
-  const auto found =
-      std::lower_bound(data.parts.begin(), data.parts.end(), ref.name,
-                       [](const shared_part& part, const std::string& name) {
-                         return part->ref.name < name;
-                       });
-  if (found == data.parts.end() || !((*found)->ref == ref)) return nullptr;
-  return *found;
+// Finds the parts of a set by name. Manifests list parts by name, so the part
+// after the last one found is tried before a search.
+class part_finder {
+ public:
+  // `parts` is sorted by name and must outlive this object.
+  explicit part_finder(const std::vector<shared_part>& parts)
+      : parts_(parts), next_(parts.begin()) {}
+
+  // The part that equals `ref`, or null.
+  shared_part Find(const part_ref& ref) {
+    if (next_ == parts_.end() || (*next_)->ref.name != ref.name) {
+      next_ = std::lower_bound(
+          parts_.begin(), parts_.end(), ref.name,
+          [](const shared_part& part, const std::string& name) {
+            return part->ref.name < name;
+          });
+    }
+    if (next_ == parts_.end() || (*next_)->ref.name != ref.name) return nullptr;
+    const shared_part& found = *next_++;
+    return found->ref == ref ? found : nullptr;
+  }
+
+ private:
+  const std::vector<shared_part>& parts_;
+  std::vector<shared_part>::const_iterator next_;
+};
+
+bool IsBefore(const shared_part& a, const shared_part& b) {
+  return a->ref.name < b->ref.name;
 }
 
 // Collects the parts in name order: from `previous` where it has them,
-// otherwise from `bytes`.
+// otherwise from `bytes`. The latter are also added to `parsed`.
 faults CollectParts(const manifest& manifest, const part_bytes& bytes,
-                    const set_data* previous, set_data* out) {
+                    const set_data& previous, set_data* out,
+                    std::vector<shared_part>* parsed) {
   faults found;
+  part_finder finder(previous.parts);
   out->parts.reserve(manifest.parts.size());
   for (const part_ref& ref : manifest.parts) {
-    shared_part part = previous == nullptr ? nullptr : FindPart(*previous, ref);
+    shared_part part = finder.Find(ref);
     if (part == nullptr) {
-      auto parsed = VerifyAndParse(ref, bytes);
-      if (!parsed) {
-        Append(&found, std::move(parsed.error()));
+      auto verified = VerifyAndParse(ref, bytes);
+      if (!verified) {
+        Append(&found, std::move(verified.error()));
         continue;
       }
-      part = std::move(*parsed);
+      part = std::move(*verified);
+      parsed->push_back(part);
     }
     out->parts.push_back(std::move(part));
   }
-  std::sort(out->parts.begin(), out->parts.end(),
-            [](const shared_part& a, const shared_part& b) {
-              return a->ref.name < b->ref.name;
-            });
+  std::vector<shared_part>& parts = out->parts;
+  if (!std::is_sorted(parts.begin(), parts.end(), IsBefore)) {
+    std::sort(parts.begin(), parts.end(), IsBefore);
+  }
   return found;
 }
 
@@ -159,42 +182,38 @@
                     });
 }
 
-void FillServices(const set_data* previous, set_data* data, cross_faults* out) {
+void FillServices(const set_data& previous, set_data* data, cross_faults* out) {
   data->services = shared_list<service>(ContentOf<service>(data->parts));
   if (data->services.empty()) {
     out->Add("manifest", "/parts", "no service",
              "add at least one part services/NAME");
   }
-  if (previous != nullptr && IsSameList(data->services, previous->services)) {
-    data->by_service = previous->by_service;
-  } else {
-    data->by_service = BuildServiceTables(data->services, out);
-  }
+  data->by_service = IsSameList(data->services, previous.services)
+                         ? previous.by_service
+                         : BuildServiceTables(data->services, out);
 }
 
-void FillOrganisations(const set_data* previous, set_data* data,
+void FillOrganisations(const set_data& previous, set_data* data,
                        cross_faults* out) {
   data->organisations =
       shared_list<organisation>(ContentOf<organisation>(data->parts));
-  if (previous != nullptr &&
-      HaveSameKeys(data->organisations, previous->organisations)) {
-    data->by_organisation = previous->by_organisation;
-  } else {
-    data->by_organisation = BuildOrganisationTables(data->organisations, out);
-  }
-}
-
-// Contracts that `previous` has with the same routes were checked before.
-void CheckContracts(const set_data* previous, const set_data& data,
-                    cross_faults* out) {
-  const bool same_routes =
-      previous != nullptr && previous->by_service == data.by_service;
-  for (const shared_part& part : data.parts) {
+  data->by_organisation =
+      HaveSameKeys(data->organisations, previous.organisations)
+          ? previous.by_organisation
+          : BuildOrganisationTables(data->organisations, out);
+}
+
+// With the services of `previous`, only the contracts that it does not have
+// need a check; those are in `parsed`.
+void CheckContracts(const set_data& previous, const set_data& data,
+                    const std::vector<shared_part>& parsed, cross_faults* out) {
+  const bool same_routes = previous.by_service == data.by_service;
+  for (const shared_part& part : same_routes ? parsed : data.parts) {
     const auto* organisation =
         std::get_if<config::organisation>(&part->content);
-    if (organisation == nullptr) continue;
-    if (same_routes && FindPart(*previous, part->ref) == part) continue;
-    CheckContract(*organisation, *data.by_service, out);
+    if (organisation != nullptr) {
+      CheckContract(*organisation, *data.by_service, out);
+    }
   }
 }
 
@@ -208,20 +227,22 @@
 tl::expected<config_set, faults> AssembleSet(
     const manifest& manifest, const std::map<std::string, std::string>& parts,
     const config_set* previous) {
-  const set_data* before =
-      previous == nullptr ? nullptr : &set_builder::Data(*previous);
+  const config_set empty;
+  const set_data& before =
+      set_builder::Data(previous == nullptr ? empty : *previous);
   auto data = std::make_shared<set_data>();
   data->version = manifest.version;
   data->digest = manifest.digest;
+  std::vector<shared_part> parsed;
   // Faults between parts are looked for only among sound parts: a part that
   // could not be read would seem to lack everything that others refer to.
-  faults in_parts = CollectParts(manifest, parts, before, data.get());
+  faults in_parts = CollectParts(manifest, parts, before, data.get(), &parsed);
   if (!in_parts.empty()) return tl::unexpected(std::move(in_parts));
   cross_faults between(&manifest, &parts);
   FillZones(data.get(), &between);
   FillServices(before, data.get(), &between);
   FillOrganisations(before, data.get(), &between);
-  CheckContracts(before, *data, &between);
+  CheckContracts(before, *data, parsed, &between);
   if (!between.Empty()) return tl::unexpected(between.Take());
   return set_builder::Make(std::move(data));
 }
--- a/src/config/document_reader.cc
+++ b/src/config/document_reader.cc
@@ -6,6 +6,8 @@
 namespace pimentohall::config {
 namespace {
 
+constexpr std::size_t kTypicalFields = 8;
+
 std::string Quoted(std::string_view text) {
   return "\"" + Printable(text) + "\"";
 }
@@ -35,6 +37,7 @@
 object_reader::object_reader(const json_value& value, std::string pointer,
                              fault_sink* sink)
     : value_(value), pointer_(std::move(pointer)), sink_(sink) {
+  known_.reserve(kTypicalFields);
   if (value_.kind != json_kind::kObject) {
     ReportKind(value_, pointer_, json_kind::kObject);
   }
@@ -117,23 +120,32 @@
 
 void object_reader::Finish() {
   if (value_.kind != json_kind::kObject) return;
-  std::string known;
-  for (std::string_view field : known_) {
-    known += known.empty() ? "" : ", ";
-    known += field;
-  }
-  std::unordered_set<std::string_view> seen;
+  std::uint32_t seen = 0;  // One bit for each known field.
   for (const json_value& child : value_.children) {
-    const std::string pointer = AppendToPointer(pointer_, child.key);
-    if (std::find(known_.begin(), known_.end(), child.key) == known_.end()) {
-      sink_->Add(child.line, pointer, "unknown field " + Quoted(child.key),
-                 "remove it or correct its name; fields here are " + known);
-    } else if (!seen.insert(child.key).second) {
-      sink_->Add(child.line, pointer,
+    const auto known = std::find(known_.begin(), known_.end(), child.key);
+    if (known == known_.end()) {
+      ReportUnknown(child);
+      continue;
+    }
+    const std::uint32_t bit = 1U << (known - known_.begin());
+    if ((seen & bit) != 0) {
+      sink_->Add(child.line, AppendToPointer(pointer_, child.key),
                  "field " + Quoted(child.key) + " appears twice",
                  "keep one of them");
     }
+    seen |= bit;
+  }
+}
+
+void object_reader::ReportUnknown(const json_value& value) {
+  std::string known;
+  for (std::string_view field : known_) {
+    known += known.empty() ? "" : ", ";
+    known += field;
   }
+  sink_->Add(value.line, AppendToPointer(pointer_, value.key),
+             "unknown field " + Quoted(value.key),
+             "remove it or correct its name; fields here are " + known);
 }
 
 const json_value* object_reader::Find(const char* field, presence presence) {
--- a/src/config/document_reader.h
+++ b/src/config/document_reader.h
@@ -113,6 +113,7 @@
                                           presence presence);
   void ReportAt(const std::string& relative, std::string problem,
                 std::string fix);
+  void ReportUnknown(const json_value& value);
   void ReportKind(const json_value& value, const std::string& pointer,
                   json_kind wanted);
   void ReportText(const json_value& value, const std::string& pointer,
@@ -125,7 +126,7 @@
   const json_value& value_;
   std::string pointer_;
   fault_sink* sink_;
-  std::vector<std::string_view> known_;
+  std::vector<std::string_view> known_;  // Fields asked for, at most 32.
 };
 
 // Parses `bytes` and reads the object at the root with `read(reader, &out)`.
@@ -174,8 +175,8 @@
   const json_value* list = FindList(field, emptiness);
   if (list == nullptr) return;
   const std::string list_pointer = AppendToPointer(pointer_, field);
-  std::unordered_set<std::string> seen;
-  out->reserve(list->children.size());
+  std::unordered_set<std::string_view> seen;
+  out->reserve(list->children.size());  // `seen` views texts in `out`.
   for (const json_value& child : list->children) {
     const std::string pointer =
         AppendToPointer(list_pointer, std::to_string(out->size()));
--- a/testing/unit/config_parse_test.cc
+++ b/testing/unit/config_parse_test.cc
@@ -285,6 +285,7 @@
     RC_ASSERT(parsed->version == version);
     RC_ASSERT(parsed->digest == Sha256Hex(bytes));
     std::vector<part_ref> expected;
+    expected.reserve(parts.size());
     for (const auto& [name, text] : parts) {
       expected.push_back({name, Sha256Hex(text), text.size()});
     }
--- a/testing/unit/config_set_test.cc
+++ b/testing/unit/config_set_test.cc
@@ -94,6 +94,40 @@
   CHECK(empty.Version() == 0);
 }
 
+// Guards against a binary search over routes in the operator's order.
+TEST_CASE("a contract may list its routes in any order") {
+  const auto parsed = ParseOrganisation(
+      OrganisationText("a", 1, {"r", "c", "x", "b"}, "ka"), "organisations/a");
+  REQUIRE(parsed);
+  for (const char* route : {"b", "c", "r", "x"}) {
+    CHECK(config_set().Allows(*parsed, route));
+  }
+  CHECK_FALSE(config_set().Allows(*parsed, "d"));
+}
+
+// Guards against one back-end process behind two limiters, and against refusing
+// the loopback ports of different VMs.
+TEST_CASE("an address is one back-end, a loopback address one on each VM") {
+  const auto assemble = [](const char* address, const char* other_vm) {
+    part_map parts = SmallParts();
+    std::string upstreams;
+    for (const char* vm : {"v", other_vm}) {
+      upstreams += std::string(upstreams.empty() ? "" : ",") + "{\"name\":\"u" +
+                   std::to_string(upstreams.size()) + "\",\"vm\":\"" + vm +
+                   "\",\"address\":\"" + address + "\",\"port\":1}";
+    }
+    parts["services/s"] =
+        R"({"name":"s","routes":[{"name":"r","path_prefix":"/r",
+            "methods":["GET"]}],"upstreams":[)" +
+        upstreams + "]}";
+    return AssembleParts(parts).has_value();
+  };
+  CHECK(assemble("127.0.0.1", "w"));
+  CHECK(assemble("::1", "w"));
+  CHECK_FALSE(assemble("127.0.0.1", "v"));
+  CHECK_FALSE(assemble("10.0.0.1", "w"));
+}
+
 // Guards against a set that mixes bytes of other digests or sizes, or that
 // lacks a part.
 TEST_CASE("parts that are missing or differ from the manifest are refused") {
