Keep keys out of faults and compare addresses by value

Cause: a fault quoted the text found in the place of a digest, so a key that an operator published by mistake would have reached every daemon's log; addresses were compared by spelling; a refused set could keep the trees of all its parts in memory and list more than kMaxFaults faults.

Change: digests are never quoted and the parser's "last read" text is dropped; addresses are compared in their canonical spelling; one tree is kept at a time; all collectors of faults share the same cap.

Conclusion: faults may be logged as they are.

--- a/src/config/assemble.cc
+++ b/src/config/assemble.cc
@@ -11,7 +11,7 @@
 using part_bytes = std::map<std::string, std::string>;
 
 void Append(faults* out, faults more) {
-  std::move(more.begin(), more.end(), std::back_inserter(*out));
+  for (fault& fault : more) AddFault(std::move(fault), out);
 }
 
 // The name that a part of this part name must carry, "" for zones.
--- a/src/config/document_reader.cc
+++ b/src/config/document_reader.cc
@@ -21,17 +21,22 @@
 
 }  // namespace
 
+void AddFault(fault added, faults* out) {
+  if (out->size() >= kMaxFaults) return;
+  if (out->size() + 1 == kMaxFaults) {
+    added.line = 0;
+    added.field.clear();
+    added.problem = "further faults are not listed";
+    added.fix = "correct those above first";
+  }
+  out->push_back(std::move(added));
+}
+
 void fault_sink::Add(int line, std::string field, std::string problem,
                      std::string fix) {
-  if (faults_.size() >= kMaxFaults) return;
-  if (faults_.size() + 1 == kMaxFaults) {
-    line = 0;
-    field.clear();
-    problem = "further faults are not listed";
-    fix = "correct those above first";
-  }
-  faults_.push_back(
-      {document_, line, std::move(field), std::move(problem), std::move(fix)});
+  AddFault(
+      {document_, line, std::move(field), std::move(problem), std::move(fix)},
+      &faults_);
 }
 
 object_reader::object_reader(const json_value& value, std::string pointer,
@@ -214,8 +219,10 @@
 void object_reader::ReportText(const json_value& value,
                                const std::string& pointer,
                                const text_rule& rule) {
-  sink_->Add(value.line, pointer,
-             std::string("bad ") + rule.what + " " + Quoted(value.text),
+  const std::string shown =
+      rule.secret ? "of " + std::to_string(value.text.size()) + " bytes"
+                  : Quoted(value.text);
+  sink_->Add(value.line, pointer, std::string("bad ") + rule.what + " " + shown,
              std::string("use ") + rule.fix);
 }
 
--- a/src/config/document_reader.h
+++ b/src/config/document_reader.h
@@ -17,7 +17,11 @@
 
 namespace pimentohall::config {
 
-// Collects the faults of one document, at most `kMaxFaults`.
+// Appends a fault. The last of `kMaxFaults` is replaced by a note that there
+// are more; later ones are dropped.
+void AddFault(fault added, faults* out);
+
+// Collects the faults of one document.
 class fault_sink {
  public:
   explicit fault_sink(std::string document) : document_(std::move(document)) {}
--- a/src/config/json_text.cc
+++ b/src/config/json_text.cc
@@ -127,12 +127,17 @@
 
   bool parse_error(std::size_t /*offset*/, const std::string& /*token*/,
                    const nlohmann::json::exception& exception) {
-    return Fail(PrintablePrefix(WithoutPrefix(exception.what()),
+    return Fail(PrintablePrefix(WithoutContext(exception.what()),
                                 kMaxParserMessageBytes));
   }
   // NOLINTEND(readability-identifier-naming)
 
  private:
+  // Strips "; last read: '...'", which may hold part of a secret.
+  static std::string_view WithoutContext(std::string_view what) {
+    return WithoutPrefix(what.substr(0, what.find("; last read:")));
+  }
+
   // Strips "[json.exception...] parse error at line 1, column 2: ".
   static std::string_view WithoutPrefix(std::string_view what) {
     for (std::string_view mark : {", column ", "] "}) {
--- a/src/config/part_checks.cc
+++ b/src/config/part_checks.cc
@@ -17,8 +17,9 @@
 // What an upstream's address means: a loopback address is another one on each
 // VM, any other address is the same everywhere.
 std::string EndpointOf(const upstream& upstream) {
-  const std::string host = IsLoopback(upstream.address) ? upstream.vm : "";
-  return host + " " + upstream.address + " " + std::to_string(upstream.port);
+  const std::string address = CanonicalAddress(upstream.address);
+  const std::string host = IsLoopback(address) ? upstream.vm : "";
+  return host + " " + address + " " + std::to_string(upstream.port);
 }
 
 class service_table_builder {
@@ -91,7 +92,7 @@
   const json_value* root = Tree(part);
   const json_value* value = root == nullptr ? nullptr : FindValue(*root, field);
   const int line = value == nullptr ? 0 : value->line;
-  faults_.push_back({part, line, field, std::move(problem), std::move(fix)});
+  AddFault({part, line, field, std::move(problem), std::move(fix)}, &faults_);
 }
 
 void cross_faults::AddAtText(const std::string& part, const std::string& field,
@@ -110,16 +111,17 @@
 }
 
 const json_value* cross_faults::Tree(const std::string& part) {
-  const auto [tree, added] = trees_.try_emplace(part);
-  if (added) {
+  if (part != tree_part_) {
+    tree_part_ = part;
+    tree_.reset();
     for (const part_ref& ref : manifest_->parts) {
       const auto bytes = parts_->find(ref.sha256);
       if (ref.name != part || bytes == parts_->end()) continue;
       auto parsed = ParseJsonText(bytes->second);
-      if (parsed) tree->second = std::move(*parsed);
+      if (parsed) tree_ = std::move(*parsed);
     }
   }
-  return tree->second ? &*tree->second : nullptr;
+  return tree_ ? &*tree_ : nullptr;
 }
 
 std::shared_ptr<const service_tables> BuildServiceTables(
--- a/src/config/part_checks.h
+++ b/src/config/part_checks.h
@@ -5,7 +5,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include "config/document_reader.h"
 #include "config/set_data.h"
@@ -34,11 +33,15 @@
   faults Take() { return std::move(faults_); }
 
  private:
+  // The tree of a part, or null.
   const json_value* Tree(const std::string& part);
 
   const manifest* manifest_;
   const std::map<std::string, std::string>* parts_;
-  std::unordered_map<std::string, std::optional<json_value>> trees_;
+  // The tree of the last part asked for. Trees are several times as large as
+  // their part, so only one is kept.
+  std::string tree_part_;
+  std::optional<json_value> tree_;
   faults faults_;
 };
 
--- a/src/config/syntax.cc
+++ b/src/config/syntax.cc
@@ -119,7 +119,8 @@
     "\"zones\", \"services/NAME\" or \"organisations/NAME\""};
 const text_rule kDigestRule = {
     "SHA-256 digest", IsDigest,
-    "the 64 lower-case hexadecimal digits that sha256sum prints"};
+    "the 64 lower-case hexadecimal digits that sha256sum prints",
+    /*secret=*/true};
 const text_rule kAddressRule = {
     "address", IsAddress,
     "an IPv4 or IPv6 number, for example 10.0.3.7; host names are not "
@@ -153,6 +154,19 @@
   return others == 0 && (dots == 1 || dots == 2);
 }
 
+std::string CanonicalAddress(const std::string& address) {
+  in6_addr v6{};
+  if (inet_pton(AF_INET6, address.c_str(), &v6) != 1) return address;
+  char text[INET6_ADDRSTRLEN] = {};
+  const bool mapped = IN6_IS_ADDR_V4MAPPED(&v6);
+  if (mapped) {
+    inet_ntop(AF_INET, &v6.s6_addr[12], text, sizeof(text));
+  } else {
+    inet_ntop(AF_INET6, &v6, text, sizeof(text));
+  }
+  return text;
+}
+
 bool IsLoopback(std::string_view address) {
   return address.substr(0, 4) == "127." || address == "::1";
 }
--- a/src/config/syntax.h
+++ b/src/config/syntax.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOHALL_CONFIG_SYNTAX_H_
 #define PIMENTOHALL_CONFIG_SYNTAX_H_
 
+#include <string>
 #include <string_view>
 
 namespace pimentohall::config {
@@ -10,6 +11,9 @@
   const char* what;
   bool (*accepts)(std::string_view text);
   const char* fix;
+  // True if faults must not quote the text. A key put in the place of its
+  // digest would reach the logs of every daemon.
+  bool secret = false;
 };
 
 // 1 to 128 bytes of ASCII letters, digits, "-", "_" and ".", starting with a
@@ -37,7 +41,11 @@
 // a backslash.
 bool HasDotSegment(std::string_view path);
 
-// True for 127.0.0.0/8 and ::1.
+// The one spelling of an address that `kAddressRule` accepts: IPv6 numbers have
+// several, and IPv4 numbers can be written as IPv6 ones.
+std::string CanonicalAddress(const std::string& address);
+
+// True for 127.0.0.0/8 and ::1, in their canonical spelling.
 bool IsLoopback(std::string_view address);
 
 }  // namespace pimentohall::config
--- a/src/config/vm_list.cc
+++ b/src/config/vm_list.cc
@@ -32,7 +32,8 @@
   for (const vm& vm : vms) {
     for (int port : {vm.http_port, vm.link_port}) {
       if (vm.address.empty() || port == 0) continue;
-      const std::string endpoint = vm.address + " port " + std::to_string(port);
+      const std::string endpoint =
+          CanonicalAddress(vm.address) + " port " + std::to_string(port);
       const auto [owner, added] = owners.emplace(endpoint, &vm);
       if (added || owner->second == &vm) continue;
       reader.ReportElement("vms", static_cast<std::size_t>(&vm - vms.data()),
--- a/testing/unit/config_parse_test.cc
+++ b/testing/unit/config_parse_test.cc
@@ -198,6 +198,21 @@
         "name; fields here are zones");
 }
 
+// Guards against a key in logs that an operator published by mistake.
+TEST_CASE("faults do not quote what stands in the place of a digest") {
+  const std::string rest =
+      R"("contract":{"rate_per_s":1,"burst":1,"max_concurrent":1,
+         "routes":["*"]},"keys":[{"id":"k","sha256":)";
+  for (const char* value :
+       {"\"SeCrEt\"}]}", "\"SeCrEt", "\"SeCrEt\\x\"}]}", "SeCrEt}]}"}) {
+    const auto parsed =
+        ParseOrganisation("{\"name\":\"o\"," + rest + value, "o");
+    REQUIRE_FALSE(parsed);
+    CAPTURE(AllFaults(parsed.error()));
+    CHECK(AllFaults(parsed.error()).find("SeC") == std::string::npos);
+  }
+}
+
 std::string Blank() {
   return *rc::gen::element<std::string>("", " ", "\n", "\r\n", "// c\n",
                                         "/* \n */", "\n\n");
--- a/testing/unit/config_set_test.cc
+++ b/testing/unit/config_set_test.cc
@@ -108,13 +108,17 @@
 // Guards against one back-end process behind two limiters, and against refusing
 // the loopback ports of different VMs.
 TEST_CASE("an address is one back-end, a loopback address one on each VM") {
-  const auto assemble = [](const char* address, const char* other_vm) {
+  const auto assemble = [](const char* address, const char* other_vm,
+                           const char* other_address = nullptr) {
+    if (other_address == nullptr) other_address = address;
     part_map parts = SmallParts();
     std::string upstreams;
     for (const char* vm : {"v", other_vm}) {
       upstreams += std::string(upstreams.empty() ? "" : ",") + "{\"name\":\"u" +
                    std::to_string(upstreams.size()) + "\",\"vm\":\"" + vm +
-                   "\",\"address\":\"" + address + "\",\"port\":1}";
+                   "\",\"address\":\"" +
+                   (upstreams.empty() ? address : other_address) +
+                   "\",\"port\":1}";
     }
     parts["services/s"] =
         R"({"name":"s","routes":[{"name":"r","path_prefix":"/r",
@@ -126,6 +130,9 @@
   CHECK(assemble("::1", "w"));
   CHECK_FALSE(assemble("127.0.0.1", "v"));
   CHECK_FALSE(assemble("10.0.0.1", "w"));
+  CHECK_FALSE(assemble("2001:db8::7", "w", "2001:DB8:0:0::7"));
+  CHECK_FALSE(assemble("10.0.0.1", "w", "::ffff:10.0.0.1"));
+  CHECK(assemble("127.0.0.1", "w", "::ffff:127.0.0.1"));
 }
 
 // Guards against a set that mixes bytes of other digests or sizes, or that
