--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -98,7 +98,7 @@
   const auto settings = net::LoadSettings(path);
   if (!settings) {
     for (const config::fault& fault : settings.error()) {
-      std::cerr << net::FaultText(fault) << "\n";
+      std::cerr << fault.ToString() << "\n";
     }
     return kBadInput;
   }
