--- a/src/config/document_reader.h
+++ b/src/config/document_reader.h
@@ -17,7 +17,11 @@
 
 namespace pimentohall::config {
 
-// Collects the faults of one document, at most `kMaxFaults`.
+// Appends a fault. The last of `kMaxFaults` is replaced by a note that there
+// are more; later ones are dropped.
+void AddFault(fault added, faults* out);
+
+// Collects the faults of one document.
 class fault_sink {
  public:
   explicit fault_sink(std::string document) : document_(std::move(document)) {}
@@ -113,6 +117,7 @@
                                           presence presence);
   void ReportAt(const std::string& relative, std::string problem,
                 std::string fix);
+  void ReportUnknown(const json_value& value);
   void ReportKind(const json_value& value, const std::string& pointer,
                   json_kind wanted);
   void ReportText(const json_value& value, const std::string& pointer,
@@ -125,7 +130,7 @@
   const json_value& value_;
   std::string pointer_;
   fault_sink* sink_;
-  std::vector<std::string_view> known_;
+  std::vector<std::string_view> known_;  // Fields asked for, at most 32.
 };
 
 // Parses `bytes` and reads the object at the root with `read(reader, &out)`.
@@ -174,8 +179,8 @@
   const json_value* list = FindList(field, emptiness);
   if (list == nullptr) return;
   const std::string list_pointer = AppendToPointer(pointer_, field);
-  std::unordered_set<std::string> seen;
-  out->reserve(list->children.size());
+  std::unordered_set<std::string_view> seen;
+  out->reserve(list->children.size());  // `seen` views texts in `out`.
   for (const json_value& child : list->children) {
     const std::string pointer =
         AppendToPointer(list_pointer, std::to_string(out->size()));
