--- a/src/core/distribution.cc
+++ b/src/core/distribution.cc
@@ -234,7 +234,9 @@
     } else if (!link.unwanted_since) {
       link.unwanted_since = now;
     } else if (now - *link.unwanted_since >= kLinkHold) {
-      closed.push_back(vm);
+      // If both dialled at the same time, the link may serve the peer.
+      link.dialled = !members_->IsFirstChoiceOf(vm);
+      if (link.dialled) closed.push_back(vm);
     }
   }
   for (const std::string& vm : closed) {
@@ -276,18 +278,18 @@
 }
 
 void distribution::UpdateWake(instant now) {
-  next_wake_ = std::min({now + kTickInterval, next_heartbeat_,
-                         std::max(fetcher_.NextWake(), now + duration(1))});
-  const bool reader = members_->IsReader(now);
-  if (!reader) return;
-  for (const source_watch* watch : {&manifest_watch_, &vms_watch_}) {
-    next_wake_ = std::min(next_wake_, watch->NextWake());
-  }
-  const bool parts_wait = !store_->MissingParts().empty();
-  if (parts_wait) {
+  next_wake_ =
+      std::min({now + kTickInterval, next_heartbeat_, fetcher_.NextWake()});
+  if (members_->IsReader(now)) {
     next_wake_ = std::min(
-        next_wake_, std::max(part_read_tokens_.TokenAt(), now + duration(1)));
+        {next_wake_, manifest_watch_.NextWake(), vms_watch_.NextWake()});
+    const bool parts_wait = !store_->MissingParts().empty();
+    if (parts_wait) {
+      next_wake_ = std::min(next_wake_, part_read_tokens_.TokenAt());
+    }
   }
+  // A deadline that the steps above did not move must not become a busy loop.
+  next_wake_ = std::max(next_wake_, now + kLeastWake);
 }
 
 // ---------------------------------------------------------------------------
--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -67,6 +67,7 @@
   static constexpr duration kReadyWait = std::chrono::seconds(1);
   // Ticks are at least this frequent, so that `membership` notices pauses.
   static constexpr duration kTickInterval = std::chrono::milliseconds(500);
+  static constexpr duration kLeastWake = std::chrono::milliseconds(1);
   static constexpr std::size_t kMaxLinks = 256;
   // Fetch replies to one peer. A starting child asks for some 130 parts of the
   // greatest fleet at once; afterwards one change is a few pieces.
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -314,6 +314,14 @@
   return picked;
 }
 
+bool membership::IsFirstChoiceOf(const std::string& vm) const {
+  const config::vm* listed = FindVm(vm);
+  if (listed == nullptr) return false;
+  membership other(vm, listed->zone, {});
+  other.SetVms(vms_);
+  return Contains(other.WantedLinks(instant()), vm_);
+}
+
 std::vector<std::string> membership::SilentLinks(instant now) const {
   std::vector<std::string> silent;
   for (const auto& [name, peer] : peers_) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -86,6 +86,10 @@
   // The VMs to which this daemon keeps a control link of its own.
   std::vector<std::string> WantedLinks(instant now) const;
 
+  // True if the list makes this VM a first choice of `vm`. Costs as much as
+  // taking over a list (0.4 ms for 2,200 VMs).
+  bool IsFirstChoiceOf(const std::string& vm) const;
+
   // Linked VMs that have sent no status for `kSilence`.
   std::vector<std::string> SilentLinks(instant now) const;
 
--- a/src/core/rate_limit.h
+++ b/src/core/rate_limit.h
@@ -11,7 +11,7 @@
 class rate_limit {
  public:
   rate_limit(int per_second, int burst, instant start)
-      : interval_(std::chrono::seconds(1) / per_second),
+      : interval_(duration(std::chrono::seconds(1)) / per_second),
         span_(interval_ * burst),
         next_(start - span_) {}
 
--- a/src/core/source_watch.cc
+++ b/src/core/source_watch.cc
@@ -40,7 +40,7 @@
 }
 
 bool source_watch::Expire(instant now, std::mt19937_64* random) {
-  if (!sent_at_ || now - *sent_at_ <= wait_ + kGrace) return false;
+  if (!sent_at_ || now - *sent_at_ < wait_ + kGrace) return false;
   OnFailure(now, random);
   return true;
 }
