--- a/src/core/contract_account.cc
+++ b/src/core/contract_account.cc
@@ -68,17 +68,23 @@
   return pool;
 }
 
-void contract_account::OnDeclared(const loan_party& borrower, bool ends_rate,
-                                  std::int64_t permits, instant now) {
-  given_.LimitPermits(borrower, std::max<std::int64_t>(0, permits));
-  if (ends_rate) {
-    given_.EndRate(borrower);
+void contract_account::OnDeclared(const loan_party& borrower,
+                                  const loan_use& use, instant now) {
+  given_.LimitPermits(borrower, std::max<std::int64_t>(0, use.permits));
+  if (!use.ends_rate) {
+    Recompute(now);
+    return;
   }
+  // Only a cap that is still held back covers tokens on their way; after the
+  // term it was filled again here.
+  const double covered = given_.Of(borrower, now).cap;
+  given_.EndRate(borrower);
   Recompute(now);
+  bucket_.Add(std::clamp(use.returned_tokens, 0.0, covered));
 }
 
 grant contract_account::Lend(const loan_party& borrower,
-                             const loan_amount& offer, double kept_tokens,
+                             const loan_amount& offer, const loan_amount& kept,
                              duration term, instant now) {
   const instant until = now + term;
   const loan_amount pool = Pool(until);
@@ -86,15 +92,15 @@
   const std::int64_t needed_here =
       PermitsNeededHere() + given_now_.held_permits;
   loan_amount lent;
-  lent.rate_per_s =
-      std::clamp(pool.rate_per_s - given_now_.rate_per_s + before.rate_per_s,
-                 0.0, std::max(0.0, offer.rate_per_s));
-  lent.cap = std::clamp(pool.cap - given_now_.cap + before.cap, 0.0,
+  lent.rate_per_s = std::clamp(pool.rate_per_s - kept.rate_per_s -
+                                   given_now_.rate_per_s + before.rate_per_s,
+                               0.0, std::max(0.0, offer.rate_per_s));
+  lent.cap = std::clamp(pool.cap - kept.cap - given_now_.cap + before.cap, 0.0,
                         std::max(0.0, offer.cap));
   lent.permits =
       std::clamp<std::int64_t>(pool.permits - needed_here + before.held_permits,
                                0, std::max<std::int64_t>(0, offer.permits));
-  const double tokens = std::clamp(bucket_.Level() - kept_tokens, 0.0,
+  const double tokens = std::clamp(bucket_.Level() - kept.cap, 0.0,
                                    std::max(0.0, lent.cap - before.cap));
   bucket_.Remove(tokens);
   if (lent.rate_per_s > 0 || lent.cap > 0 || lent.permits > 0) {
@@ -110,21 +116,25 @@
   return result;
 }
 
-std::int64_t contract_account::Declare(const loan_party& lender, bool ends_rate,
-                                       std::int64_t wanted, instant now) {
+loan_use contract_account::Declare(const loan_party& lender, bool ends_rate,
+                                   std::int64_t wanted_permits, instant now) {
   const std::int64_t held = taken_.Of(lender, now).held_permits;
   const std::int64_t covered_elsewhere =
       share_.permits + taken_now_.held_permits - held;
   const std::int64_t needed =
       PermitsNeededHere() + given_now_.held_permits - covered_elsewhere;
-  const std::int64_t declared =
-      std::max(wanted, std::clamp<std::int64_t>(needed, 0, held));
-  taken_.LimitPermits(lender, declared);
+  loan_use use;
+  use.ends_rate = ends_rate;
+  use.permits =
+      std::max(wanted_permits, std::clamp<std::int64_t>(needed, 0, held));
+  taken_.LimitPermits(lender, use.permits);
+  const double tokens = bucket_.Level();
   if (ends_rate) {
     taken_.EndRate(lender);
   }
   Recompute(now);
-  return declared;
+  use.returned_tokens = tokens - bucket_.Level();
+  return use;
 }
 
 void contract_account::Accept(const loan_party& lender, const grant& loan,
--- a/src/core/contract_account.h
+++ b/src/core/contract_account.h
@@ -19,6 +19,14 @@
   std::int64_t unlent_permits = 0;
 };
 
+// A borrower's statement on what it uses of a lender's loans from its request
+// on.
+struct loan_use {
+  std::int64_t permits = 0;  // At most so many.
+  bool ends_rate = false;    // No rate or cap any more.
+  double returned_tokens = 0;
+};
+
 // What one VM may use of one contract: its own share, plus loans taken, less
 // loans given. Enforces the conservation rules; knows no peers' states and
 // sends nothing.
@@ -57,20 +65,20 @@
   // Own share plus loans taken, of those that last beyond `until`.
   loan_amount Pool(instant until) const;
 
-  // Lender: applies a borrower's statement that from its request on it uses at
-  // most `permits`, and no rate if `ends_rate`.
-  void OnDeclared(const loan_party& borrower, bool ends_rate,
-                  std::int64_t permits, instant now);
+  // Lender: applies a borrower's statement.
+  void OnDeclared(const loan_party& borrower, const loan_use& use, instant now);
   // Lender: gives up to `offer` until `now + term`, replacing what the borrower
-  // had. Tokens go only with a cap that grows, so that the cap that covers them
-  // is held back here while they are under way.
+  // had, but nothing of `kept` (rate and cap). Tokens go only with a cap that
+  // grows, so that the cap that covers them is held back here while they are
+  // under way.
   grant Lend(const loan_party& borrower, const loan_amount& offer,
-             double kept_tokens, duration term, instant now);
+             const loan_amount& kept, duration term, instant now);
 
-  // Borrower: lowers the loans of `lender` for a new request and returns the
-  // permits to state in it: `wanted`, or more if running calls need them.
-  std::int64_t Declare(const loan_party& lender, bool ends_rate,
-                       std::int64_t wanted, instant now);
+  // Borrower: lowers its use of what `lender` lent to `wanted_permits`, or more
+  // if running calls need them, and ends the use of rate and cap if asked to.
+  // Returns what to state in the request that goes out now.
+  loan_use Declare(const loan_party& lender, bool ends_rate,
+                   std::int64_t wanted_permits, instant now);
   // Borrower: takes a loan until `until`.
   void Accept(const loan_party& lender, const grant& loan, instant until,
               instant now);
--- a/src/core/contract_allocator.cc
+++ b/src/core/contract_allocator.cc
@@ -12,9 +12,6 @@
 // start without waiting and while lent permits are not back.
 constexpr std::int64_t kUnlentPermitsDivisor = 4;
 
-// A VM without a call of an organisation for this long returns its loans.
-constexpr duration kIdle = std::chrono::milliseconds(300);
-
 // Time between attempts to return permits that are not needed any more.
 constexpr duration kReturnInterval = std::chrono::seconds(5);
 
@@ -236,22 +233,24 @@
     const bool holds =
         account.Taken().rate_per_s > 0 || account.Taken().held_permits > 0;
     if ((active || holds) && state->gathered_at <= now - interval) {
-      AddGatherItems(state, !active, now, to_sharers);
+      AddGatherItems(state, active ? gather::kRenewal : gather::kEnd, now,
+                     to_sharers);
     }
     return;
   }
   if (home.empty()) {
     return;
   }
-  const bool idle = state->last_call < now - kIdle;
-  const bool wants =
-      !idle && (WantedRate(state, 1.25, now) > 0 || WantedPermits(*state) > 0);
-  const bool holds =
-      account.Taken().rate_per_s > 0 || account.Taken().held_permits > 0;
-  const duration interval =
-      wants || account.Taken().rate_per_s > 0 ? kTokenRenewal : kReturnInterval;
-  if ((wants || (idle && holds)) && state->asked_home_at <= now - interval) {
-    (*to_homes)[home].push_back(TokenItem(state, home, 1.25, now));
+  const bool idle = IsIdle(state, now);
+  const bool wants = !idle && (WantedRate(state, false, now) > 0 ||
+                               WantedPermits(state, false, now) > 0);
+  const bool has_rate = account.Taken().rate_per_s > 0;
+  const bool returns = idle && (has_rate || account.Taken().held_permits > 0);
+  const duration interval = wants      ? kTokenRenewal
+                            : has_rate ? duration(0)
+                                       : kReturnInterval;
+  if ((wants || returns) && state->asked_home_at <= now - interval) {
+    AddTokenItem(state, home, false, now, to_homes);
   }
 }
 
--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -47,7 +47,8 @@
 // Messages:
 //   kShare   home -> every other VM: lend what you don't need of your share.
 //   kTokens  busy VM -> home: lend from the pool; `tokens` is the number of
-//            calls expected in one term. 0 ends the use of earlier loans.
+//            calls expected in one term. 0 ends the use of earlier loans; a
+//            second item for the same organisation returns unused tokens.
 //   In both, `permits` states how many of the receiver's permits the sender
 //   uses at most from then on, earlier loans included. So a request also
 //   returns permits, and a doubled or late one does no harm: the receiver takes
@@ -64,7 +65,7 @@
   static constexpr duration kAcquireWait = std::chrono::milliseconds(30);
   // Term of an idle VM's loan to the home, and time between its renewals.
   static constexpr duration kShareTerm = std::chrono::milliseconds(2500);
-  static constexpr duration kShareRenewal = std::chrono::milliseconds(1200);
+  static constexpr duration kShareRenewal = std::chrono::milliseconds(1000);
   // Term of the home's loan to a busy VM, and time between its renewals.
   static constexpr duration kTokenTerm = std::chrono::milliseconds(1000);
   static constexpr duration kTokenRenewal = std::chrono::milliseconds(400);
@@ -178,7 +179,7 @@
     loan_party party;
     instant sent;
     bool gave_up = false;  // No answer in time; calls no longer wait for it.
-    std::vector<std::string> organisations;
+    std::set<std::string> organisations;
   };
 
   struct deferred_reply {
@@ -189,6 +190,8 @@
 
   static constexpr int kRequestCounterBits = 32;
 
+  enum class gather { kUrgent, kRenewal, kEnd };
+
   using batch = std::map<std::string, std::vector<grant_item>>;
 
   organisation_state* Find(const std::string& organisation);
@@ -205,13 +208,20 @@
   bool AskHome(organisation_state* state, const std::string& home, instant now,
                actions* out);
   bool Gather(organisation_state* state, instant now, actions* out);
-  double WantedRate(organisation_state* state, double headroom, instant now);
-  std::int64_t WantedPermits(const organisation_state& state) const;
-  std::int64_t PooledPermitsWanted(const organisation_state& state,
-                                   instant now) const;
-  grant_item TokenItem(organisation_state* state, const std::string& home,
-                       double headroom, instant now);
-  void AddGatherItems(organisation_state* state, bool ends, instant now,
+  // `urgent`: a call waits.
+  double WantedRate(organisation_state* state, bool urgent, instant now);
+  std::int64_t WantedPermits(organisation_state* state, bool urgent,
+                             instant now);
+  std::int64_t PooledPermitsWanted(organisation_state* state, bool urgent,
+                                   instant now);
+  static bool IsIdle(organisation_state* state, instant now);
+  // Lowers the use of the lender's loans and states it.
+  static void AddItem(organisation_state* state, const loan_party& lender,
+                      double wanted_tokens, std::int64_t wanted_permits,
+                      instant now, std::vector<grant_item>* items);
+  void AddTokenItem(organisation_state* state, const std::string& home,
+                    bool urgent, instant now, batch* items);
+  void AddGatherItems(organisation_state* state, gather why, instant now,
                       batch* items);
   void Send(grant_mode mode, const batch& items, instant now, actions* out);
   void OnReply(const std::string& vm, const grant_reply& reply, instant now);
@@ -229,7 +239,7 @@
                   const grant_item& item, instant now);
   grant LendFromPool(organisation_state* state, const loan_party& borrower,
                      const grant_item& item, instant now);
-  double PoolDemand(organisation_state* state, instant now);
+  static double RemoteDemand(const organisation_state& state, instant now);
   void AnswerDeferred(instant now, actions* out);
 
   // Start check.
--- a/src/core/contract_allocator_borrow.cc
+++ b/src/core/contract_allocator_borrow.cc
@@ -11,10 +11,15 @@
 namespace {
 
 // Headroom over the measured demand, for calls that come in bursts.
-constexpr double kUrgentHeadroom = 2;
-constexpr double kPrefetchHeadroom = 1.25;
-// Below this part of the own rate no loan is needed.
-constexpr double kOwnRateSuffices = 0.8;
+constexpr double kUrgentHeadroom = 1.5;
+constexpr double kPrefetchHeadroom = 1.15;
+// A bucket is low below this part of its cap; the newest demand counts then.
+constexpr double kLowPart = 0.25;
+
+// Pause after which a VM returns its loans, in usual gaps between calls.
+constexpr double kIdleGaps = 4;
+constexpr duration kLeastIdle = std::chrono::milliseconds(50);
+constexpr duration kGreatestIdle = std::chrono::milliseconds(300);
 
 // After an answer that brought nothing, calls are refused without asking again.
 constexpr duration kDeniedPause = std::chrono::milliseconds(50);
@@ -78,7 +83,7 @@
     }
   }
   batch items;
-  items[home].push_back(TokenItem(state, home, kUrgentHeadroom, now));
+  AddTokenItem(state, home, true, now, &items);
   Send(grant_mode::kTokens, items, now, out);
   return true;
 }
@@ -92,7 +97,7 @@
     return false;
   }
   batch items;
-  AddGatherItems(state, false, now, &items);
+  AddGatherItems(state, gather::kUrgent, now, &items);
   Send(grant_mode::kShare, items, now, out);
   return state->open_gathers > 0;
 }
@@ -102,70 +107,96 @@
   return state.open_gathers > 0 && state.gathered_at > now - kAcquireWait;
 }
 
-double contract_allocator::WantedRate(organisation_state* state,
-                                      double headroom, instant now) {
+double contract_allocator::WantedRate(organisation_state* state, bool urgent,
+                                      instant now) {
+  const token_bucket& bucket = state->account.Bucket();
+  const bool low = urgent || bucket.Level() < kLowPart * bucket.Cap();
   const double target =
-      headroom * state->demand.PerSecond(now) +
+      (low ? kUrgentHeadroom * state->demand.PerSecond(now)
+           : kPrefetchHeadroom * state->demand.Average(now)) +
       static_cast<double>(state->waiting_tokens) / TermSeconds();
-  const double own = state->account.Share().rate_per_s;
-  const bool own_suffices =
-      target <= kOwnRateSuffices * own && state->account.HasToken();
-  return own_suffices || target <= 0
-             ? 0
-             : std::max(target - own, 1 / TermSeconds());
-}
-
-std::int64_t contract_allocator::WantedPermits(
-    const organisation_state& state) const {
-  const std::int64_t peak = std::max({state.peak_in_use, state.previous_peak,
-                                      state.account.InUse()}) +
-                            state.waiting_permits;
-  return std::max<std::int64_t>(
-      0, peak + peak / 4 - state.account.Share().permits);
-}
-
-std::int64_t contract_allocator::PooledPermitsWanted(
-    const organisation_state& state, instant now) const {
-  std::int64_t wanted = WantedPermits(state);
-  for (const auto& [vm, demand] : state.demands) {
+  const double wanted = target - state->account.Share().rate_per_s;
+  return urgent ? std::max(wanted, 1 / TermSeconds()) : std::max(wanted, 0.0);
+}
+
+std::int64_t contract_allocator::WantedPermits(organisation_state* state,
+                                               bool urgent, instant now) {
+  const std::int64_t peak = std::max(
+      {state->peak_in_use, state->previous_peak, state->account.InUse()});
+  std::int64_t wanted = peak + peak / 4 + state->waiting_permits;
+  if (urgent) {
+    // At worst, the calls to come all run at once.
+    wanted = std::max(
+        wanted, state->account.InUse() +
+                    static_cast<std::int64_t>(kUrgentHeadroom *
+                                              state->demand.PerSecond(now)));
+  }
+  return std::max<std::int64_t>(0,
+                                std::min(wanted, state->limits.max_concurrent) -
+                                    state->account.Share().permits);
+}
+
+std::int64_t contract_allocator::PooledPermitsWanted(organisation_state* state,
+                                                     bool urgent, instant now) {
+  std::int64_t wanted = WantedPermits(state, urgent, now);
+  for (const auto& [vm, demand] : state->demands) {
     wanted += demand.at > now - kTokenTerm ? demand.permits : 0;
   }
-  return std::min(wanted, state.limits.max_concurrent);
-}
-
-grant_item contract_allocator::TokenItem(organisation_state* state,
-                                         const std::string& home,
-                                         double headroom, instant now) {
-  const bool idle = state->last_call < now - std::chrono::milliseconds(300);
-  grant_item item;
-  item.organisation = state->name;
-  item.tokens = idle ? 0 : WantedRate(state, headroom, now) * TermSeconds();
-  item.permits =
-      state->account.Declare({home, grant_mode::kTokens}, item.tokens <= 0,
-                             idle ? 0 : WantedPermits(*state), now);
+  return std::min(wanted, state->limits.max_concurrent);
+}
+
+void contract_allocator::AddItem(organisation_state* state,
+                                 const loan_party& lender, double wanted_tokens,
+                                 std::int64_t wanted_permits, instant now,
+                                 std::vector<grant_item>* items) {
+  const bool ends_rate = wanted_tokens <= 0;
+  const loan_use use =
+      state->account.Declare(lender, ends_rate, wanted_permits, now);
+  items->push_back({state->name, ends_rate ? 0 : wanted_tokens, use.permits});
+  if (use.returned_tokens > 0) {
+    items->push_back({state->name, use.returned_tokens, 0});
+  }
+}
+
+void contract_allocator::AddTokenItem(organisation_state* state,
+                                      const std::string& home, bool urgent,
+                                      instant now, batch* items) {
+  const bool idle = IsIdle(state, now);
   state->asked_home_at = now;
-  return item;
+  AddItem(state, {home, grant_mode::kTokens, 0},
+          idle ? 0 : WantedRate(state, urgent, now) * TermSeconds(),
+          idle ? 0 : WantedPermits(state, urgent, now), now, &(*items)[home]);
 }
 
-void contract_allocator::AddGatherItems(organisation_state* state, bool ends,
+void contract_allocator::AddGatherItems(organisation_state* state, gather why,
                                         instant now, batch* items) {
-  const std::int64_t permits = ends ? 0 : PooledPermitsWanted(*state, now);
+  const bool ends = why == gather::kEnd;
+  const std::int64_t pooled =
+      ends ? 0 : PooledPermitsWanted(state, why == gather::kUrgent, now);
+  // Twice an even part, since not every VM can lend.
+  const auto vms = static_cast<std::int64_t>(shares_.Listed().size());
+  const std::int64_t permits =
+      std::min(pooled, 2 * pooled / std::max<std::int64_t>(1, vms - 1) + 1);
   state->gathered_at = now;
   state->open_gathers = 0;
   for (const std::string& vm : shares_.Listed()) {
     if (vm == directory_.self || !directory_.is_usable(vm, now)) {
       continue;
     }
-    grant_item item;
-    item.organisation = state->name;
-    item.tokens = ends ? 0 : state->limits.rate_per_s;
-    item.permits =
-        state->account.Declare({vm, grant_mode::kShare}, ends, permits, now);
-    (*items)[vm].push_back(std::move(item));
+    AddItem(state, {vm, grant_mode::kShare, 0},
+            ends ? 0 : state->limits.rate_per_s, permits, now, &(*items)[vm]);
     ++state->open_gathers;
   }
 }
 
+// A VM is idle after a pause of a few times the usual gap between calls.
+bool contract_allocator::IsIdle(organisation_state* state, instant now) {
+  const double calls_per_s = std::max(1.0, state->demand.Recent(now));
+  const duration pause = std::chrono::duration_cast<duration>(
+      kIdleGaps / calls_per_s * std::chrono::seconds(1));
+  return state->last_call < now - std::clamp(pause, kLeastIdle, kGreatestIdle);
+}
+
 void contract_allocator::Send(grant_mode mode, const batch& items, instant now,
                               actions* out) {
   for (const auto& [vm, list] : items) {
@@ -176,7 +207,7 @@
     open.party = {vm, mode};
     open.sent = now;
     for (const grant_item& item : list) {
-      open.organisations.push_back(item.organisation);
+      open.organisations.insert(item.organisation);
       Find(item.organisation)->latest_request[open.party] = request.id;
     }
     request.items = list;
--- a/src/core/contract_allocator_lend.cc
+++ b/src/core/contract_allocator_lend.cc
@@ -14,16 +14,21 @@
 // Longest time that a request waits at the home for shares to arrive.
 constexpr duration kGatherWait = std::chrono::milliseconds(12);
 
-// What a sharing VM keeps: this part of its share, ...
+// What a sharing VM keeps: this part of its cap, ...
 constexpr double kFloorPart = 1.0 / 8;
-// ... if its cap is at least this; below, a floor would lock up too much.
-constexpr double kLeastFloorCap = 4;
+// ... if its cap is at least this; below, a floor would lock up too much. Its
+// rate only keeps the floor filled.
+constexpr double kFloorRatePart = 1.0 / 50;
+constexpr double kLeastFloorCap = 8;
 // ... or this multiple of its own demand.
-constexpr double kOwnDemandHeadroom = 1.5;
+constexpr double kOwnDemandHeadroom = 1.6;
 
 // Time between repeated start checks.
 constexpr duration kStartCheckInterval = std::chrono::milliseconds(250);
 
+// What the home keeps of the pool, as a multiple of its own demand.
+constexpr double kHomeDemandHeadroom = 1.25;
+
 // A loan with less cap than this admits hardly any call.
 constexpr double kLeastLoanCap = 2;
 
@@ -51,7 +56,14 @@
   const loan_party borrower{vm, request.mode, incarnation};
   grant_request taken{request.id, request.mode, {}};
   bool must_gather = false;
-  for (const grant_item& item : request.items) {
+  for (std::size_t i = 0; i < request.items.size(); ++i) {
+    const grant_item& item = request.items[i];
+    double returned = 0;
+    if (i + 1 < request.items.size() &&
+        request.items[i + 1].organisation == item.organisation) {
+      ++i;
+      returned = request.items[i].tokens;
+    }
     organisation_state* state = Find(item.organisation);
     if (state == nullptr) {
       continue;
@@ -62,7 +74,8 @@
     }
     mark = {request.id, now};
     state->account.Settle(now);
-    state->account.OnDeclared(borrower, item.tokens <= 0, item.permits, now);
+    state->account.OnDeclared(borrower,
+                              {item.permits, item.tokens <= 0, returned}, now);
     if (request.mode == grant_mode::kTokens) {
       state->demands[vm] = {item.tokens / TermSeconds(), item.permits, now};
       must_gather =
@@ -85,14 +98,16 @@
   }
   const loan_amount pool = state->account.Pool(now + kTokenTerm);
   const double wanted =
-      std::min(PoolDemand(state, now), state->limits.rate_per_s * 0.9);
+      std::min(state->demand.Recent(now) + RemoteDemand(*state, now),
+               state->limits.rate_per_s * 0.9);
   return pool.rate_per_s < wanted ||
-         pool.permits < PooledPermitsWanted(*state, now);
+         pool.permits < PooledPermitsWanted(state, false, now);
 }
 
-double contract_allocator::PoolDemand(organisation_state* state, instant now) {
-  double demand = state->demand.PerSecond(now);
-  for (const auto& [vm, remote] : state->demands) {
+double contract_allocator::RemoteDemand(const organisation_state& state,
+                                        instant now) {
+  double demand = 0;
+  for (const auto& [vm, remote] : state.demands) {
     demand += remote.at > now - kTokenTerm ? remote.rate_per_s : 0;
   }
   return demand;
@@ -106,7 +121,8 @@
     }
   }
   return state->last_call > now - std::chrono::seconds(1) &&
-         (WantedRate(state, 1.25, now) > 0 || WantedPermits(*state) > 0);
+         (WantedRate(state, false, now) > 0 ||
+          WantedPermits(state, false, now) > 0);
 }
 
 void contract_allocator::Answer(const std::string& vm,
@@ -139,21 +155,24 @@
                                     const loan_party& borrower,
                                     const grant_item& item, instant now) {
   const own_share& own = state->account.Share();
-  const double demand = state->demand.PerSecond(now);
-  double kept = FloorPart(own.cap);
+  const double demand = state->demand.Recent(now);
+  loan_amount kept;
+  kept.rate_per_s = own.rate_per_s * kFloorRatePart;
+  kept.cap = own.cap * FloorPart(own.cap);
   if (demand > 0 && own.rate_per_s > 0) {
-    kept = std::max(kept, kOwnDemandHeadroom * demand / own.rate_per_s);
-    kept = own.cap >= 1 ? std::max(kept, 1 / own.cap) : kept;
+    const double part =
+        std::min(1.0, kOwnDemandHeadroom * demand / own.rate_per_s);
+    kept.rate_per_s = own.rate_per_s * part;
+    kept.cap = std::max(kept.cap, own.cap * part);
   }
-  kept = std::min(kept, 1.0);
   loan_amount offer;
   if (item.tokens > 0) {
-    offer.rate_per_s = own.rate_per_s * (1 - kept);
-    offer.cap = own.cap * (1 - kept);
+    offer.rate_per_s = own.rate_per_s - kept.rate_per_s;
+    offer.cap = own.cap - kept.cap;
   }
   const std::int64_t peak = std::max(state->peak_in_use, state->previous_peak);
   offer.permits = std::min(item.permits, own.permits - peak);
-  return state->account.Lend(borrower, offer, own.cap * kept, kShareTerm, now);
+  return state->account.Lend(borrower, offer, kept, kShareTerm, now);
 }
 
 grant contract_allocator::LendFromPool(organisation_state* state,
@@ -161,18 +180,26 @@
                                        const grant_item& item, instant now) {
   const own_share& own = state->account.Share();
   const loan_amount pool = state->account.Pool(now + kTokenTerm);
-  const double demand = item.tokens / TermSeconds();
-  const double all = std::max(PoolDemand(state, now), pool.rate_per_s);
-  const double part = all > 0 ? demand / all : 0;
-  const double floor = own.cap * FloorPart(own.cap);
+  const double own_demand = kHomeDemandHeadroom * state->demand.Recent(now);
+  const double all =
+      std::max(own_demand + RemoteDemand(*state, now), pool.rate_per_s);
+  const double part =
+      all > 0 ? std::min(1.0, item.tokens / TermSeconds() / all) : 0;
+  const double kept_part = all > 0 ? own_demand / all : 0;
+  loan_amount kept;
+  kept.rate_per_s = std::max(pool.rate_per_s * kept_part,
+                             std::min(own.rate_per_s, own_demand));
+  const double own_part =
+      own.rate_per_s > 0 ? std::min(1.0, own_demand / own.rate_per_s) : 0;
+  kept.cap = std::max(pool.cap * kept_part,
+                      own.cap * std::max(own_part, FloorPart(own.cap)));
   loan_amount offer;
   if (item.tokens > 0) {
     offer.rate_per_s = pool.rate_per_s * part;
-    offer.cap =
-        std::max(pool.cap * part, std::min(kLeastLoanCap, pool.cap)) - floor;
+    offer.cap = std::max(pool.cap * part, kLeastLoanCap);
   }
   offer.permits = item.permits;
-  return state->account.Lend(borrower, offer, floor, kTokenTerm, now);
+  return state->account.Lend(borrower, offer, kept, kTokenTerm, now);
 }
 
 void contract_allocator::AnswerDeferred(instant now, actions* out) {
