Make refunds exact and test single loans by hand

Cause: a scratch edit showed that refunds, request order, late replies and the start check had no test that failed without them; a refund of a call from before the bucket was last full could give a token too many.

--- a/src/core/contract_account.cc
+++ b/src/core/contract_account.cc
@@ -36,14 +36,26 @@
 }
 
 void contract_account::Take() {
+  NoteOverflow();
   bucket_.Take();
   ++in_use_;
 }
 
 void contract_account::Release(bool refund) {
+  NoteOverflow();
   in_use_ = std::max<std::int64_t>(0, in_use_ - 1);
-  if (refund) {
-    bucket_.Refund();
+  if (refund && not_refundable_ == 0) {
+    bucket_.Add(1);
+  } else if (refund) {
+    --not_refundable_;
+  }
+  not_refundable_ = std::min(not_refundable_, in_use_);
+}
+
+void contract_account::NoteOverflow() {
+  if (bucket_.Overflows() != overflows_) {
+    overflows_ = bucket_.Overflows();
+    not_refundable_ = in_use_;
   }
 }
 
--- a/src/core/contract_account.h
+++ b/src/core/contract_account.h
@@ -54,6 +54,8 @@
   bool HasToken() const { return bucket_.Level() >= 1; }
   bool HasPermit() const { return in_use_ + 1 <= UsablePermits(); }
   void Take();
+  // A refund of a call that began before the bucket was last full gives nothing
+  // back: without that call, its token would have been lost to the cap.
   void Release(bool refund);
 
   const token_bucket& Bucket() const { return bucket_; }
@@ -89,6 +91,7 @@
 
  private:
   void Recompute(instant now);
+  void NoteOverflow();
   // Permits that calls here use or may come to use without a loan.
   std::int64_t PermitsNeededHere() const;
 
@@ -100,6 +103,9 @@
   loan_amount given_now_;
   instant next_change_ = instant::max();
   std::int64_t in_use_ = 0;
+  // At most so many running calls began before the bucket was last full.
+  std::int64_t not_refundable_ = 0;
+  std::uint64_t overflows_ = 0;
 };
 
 }  // namespace pimentohall::core
--- a/src/core/token_bucket.h
+++ b/src/core/token_bucket.h
@@ -43,7 +43,6 @@
       return false;
     }
     level_ -= 1;
-    ++refundable_;
     return true;
   }
 
@@ -54,21 +53,14 @@
 
   void Remove(double tokens) { level_ = std::max(0.0, level_ - tokens); }
 
-  // Gives one token back. A token taken before the bucket was last full is not
-  // given back: without that call, the token would have been lost to the cap.
-  void Refund() {
-    if (refundable_ == 0) {
-      return;
-    }
-    --refundable_;
-    Add(1);
-  }
+  // How often the bucket was full, and tokens were lost to the cap.
+  std::uint64_t Overflows() const { return overflows_; }
 
  private:
   void Clamp() {
     if (level_ >= cap_) {
       level_ = cap_;
-      refundable_ = 0;
+      ++overflows_;
     }
   }
 
@@ -76,7 +68,7 @@
   double rate_per_s_ = 0;
   double cap_ = 0;
   double level_ = 0;
-  std::int64_t refundable_ = 0;  // Tokens taken since the bucket was full.
+  std::uint64_t overflows_ = 0;
 };
 
 }  // namespace pimentohall::core
--- /dev/null
+++ b/testing/unit/contract_account_test.cc
@@ -0,0 +1,221 @@
+// Rules of single loans and messages, with messages made by hand.
+
+#include "core/contract_account.h"
+
+#include <doctest/doctest.h>
+
+#include <utility>
+
+#include "core/contract_allocator.h"
+
+namespace pimentohall::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const instant kStart{std::chrono::hours(1)};
+
+// Guards against tokens under way that no cap covers: a renewal of the same cap
+// must bring none, whatever the lender has again.
+TEST_CASE("a renewal brings tokens only for a cap that grows") {
+  contract_account lender(kStart);
+  lender.SetShare({1000, 100, 0, 0}, kStart);
+  instant now = kStart + seconds(1);
+  lender.Settle(now);
+  const loan_party borrower{"x", grant_mode::kShare, 1};
+  CHECK(lender.Lend(borrower, {0, 50, 0, 0}, {}, seconds(2), now).tokens == 50);
+  now += milliseconds(200);
+  lender.Settle(now);
+  CHECK(lender.Bucket().Level() == 50);
+  CHECK(lender.Lend(borrower, {0, 50, 0, 0}, {}, seconds(2), now).tokens == 0);
+  CHECK(lender.Lend(borrower, {0, 60, 0, 0}, {}, seconds(2), now).tokens == 10);
+  CHECK(lender.Bucket().Cap() == 40);
+}
+
+// Guards against returned tokens that arrive after the term, when the lender
+// has filled the same cap again.
+TEST_CASE("returned tokens count only within the term") {
+  for (const bool is_late : {false, true}) {
+    CAPTURE(is_late);
+    contract_account lender(kStart);
+    lender.SetShare({10, 100, 0, 0}, kStart);
+    instant now = kStart + seconds(10);
+    lender.Settle(now);
+    const loan_party borrower{"x", grant_mode::kShare, 1};
+    lender.Lend(borrower, {0, 80, 0, 0}, {}, seconds(2), now);
+    now += is_late ? milliseconds(2100) : milliseconds(100);
+    lender.Settle(now);
+    const double before = lender.Bucket().Level();
+    lender.OnDeclared(borrower, {0, true, 70}, now);
+    CHECK(lender.Bucket().Level() - before == (is_late ? 0 : 70));
+  }
+}
+
+// Guards against refunds that admit more than burst + rate * w: the token of
+// the first call would have been lost when the bucket was full.
+TEST_CASE("a refund gives no token that the full bucket had lost") {
+  contract_account account(kStart);
+  account.SetShare({1, 2, 10, 0}, kStart);
+  account.Settle(kStart + seconds(2));
+  account.Take();
+  account.Settle(kStart + seconds(4));  // Full again.
+  account.Take();
+  account.Take();
+  account.Release(true);  // Taken to be the first call.
+  CHECK_FALSE(account.HasToken());
+  account.Release(true);
+  CHECK(account.HasToken());
+}
+
+// One allocator whose messages are caught.
+struct hand_driven {
+  explicit hand_driven(std::uint64_t incarnation = 1,
+                       const std::string& home = "home")
+      : allocator({"self", [home](const std::string&, instant) { return home; },
+                   [](const std::string&, instant) { return true; }},
+                  incarnation, kStart) {
+    config::organisation organisation;
+    organisation.name = "yamaga";
+    organisation.limits = {90, 90, 9, {}};
+    allocator.SetOrganisations({organisation}, kStart);
+    config::vm_list vms;
+    vms.vms.resize(3);
+    vms.vms[0].name = "home";
+    vms.vms[1].name = "other";
+    vms.vms[2].name = "self";
+    allocator.SetVms(vms, kStart);
+  }
+
+  void RunTo(instant until) {
+    for (; now < until; now += milliseconds(500)) {
+      allocator.Tick(now, &out);
+    }
+  }
+
+  acquire_result Acquire() { return allocator.Acquire("yamaga", now, &out); }
+  void Receive(const std::string& vm, const message& body) {
+    allocator.OnMessage(vm, body, now, &out);
+  }
+
+  template <typename kind>
+  kind Last() const {
+    kind last;
+    for (const action& each : out) {
+      const auto* send = std::get_if<send_message>(&each);
+      if (send != nullptr && std::holds_alternative<kind>(send->body)) {
+        last = std::get<kind>(send->body);
+      }
+    }
+    return last;
+  }
+
+  contract_allocator allocator;
+  instant now = kStart;
+  actions out;
+};
+
+grant_reply TenTokens(std::uint64_t id) {
+  return {id, {{"yamaga", 0, 10, 10, 10, contract_allocator::kTokenTerm}}};
+}
+
+// Guards against replies that are taken twice, late, from another VM, or for a
+// request of another process.
+TEST_CASE("only the asked VM's first reply within the term counts") {
+  const struct {
+    const char* name;
+    const char* from;
+    int delay_ms;
+    std::uint64_t id_change;
+    bool is_taken;
+  } cases[] = {
+      {"good", "home", 5, 0, true},
+      {"from another VM", "other", 5, 0, false},
+      {"at the end of the term less 5%", "home", 950, 0, false},
+      {"of another process", "home", 5, 1ULL << 40, false},
+  };
+  for (const auto& test : cases) {
+    CAPTURE(test.name);
+    hand_driven borrower;
+    REQUIRE(borrower.Acquire() == acquire_result::kWait);
+    const auto request = borrower.Last<grant_request>();
+    borrower.now += milliseconds(test.delay_ms);
+    const grant_reply reply = TenTokens(request.id + test.id_change);
+    borrower.Receive(test.from, reply);
+    CHECK(borrower.allocator.View(borrower.now)[0].tokens ==
+          (test.is_taken ? 10 : 0));
+    for (int call = 0; test.is_taken && call < 9; ++call) {
+      CHECK(borrower.Acquire() == acquire_result::kAcquired);
+    }
+    borrower.Receive(test.from, reply);
+    CHECK(borrower.allocator.View(borrower.now)[0].tokens ==
+          (test.is_taken ? 1 : 0));
+  }
+}
+
+// Guards against a restarted process that recognises the identifiers of the one
+// before it.
+TEST_CASE("request identifiers derive from the incarnation") {
+  hand_driven first(1);
+  hand_driven second(2);
+  first.Acquire();
+  second.Acquire();
+  CHECK(first.Last<grant_request>().id != second.Last<grant_request>().id);
+}
+
+// Guards against permits that a doubled or overtaken request returns again.
+TEST_CASE("a lender takes each request once and in order") {
+  hand_driven lender;
+  lender.RunTo(kStart + contract_allocator::kPermitStartWait + seconds(1));
+  const auto ask = [&](const char* vm, std::uint64_t id, std::int64_t permits) {
+    lender.out.clear();
+    lender.Receive(
+        vm, grant_request{id, grant_mode::kShare, {{"yamaga", 1, permits}}});
+    const auto reply = lender.Last<grant_reply>();
+    return reply.grants.empty() ? 0 : reply.grants[0].permits;
+  };
+  // Of three permits one is never lent.
+  CHECK(ask("home", 7, 0) == 0);
+  CHECK(ask("home", 8, 5) == 2);
+  CHECK(ask("home", 7, 0) == 0);
+  CHECK(ask("other", 1, 5) == 0);
+  // The next process of the borrower does not speak for the one before it.
+  CHECK(ask("home", 1ULL << 40, 0) == 0);
+  CHECK(ask("other", 2, 5) == 0);
+  CHECK(ask("home", 9, 0) == 0);
+  CHECK(ask("other", 3, 5) == 2);
+}
+
+// Guards against a confirmation by a VM that still uses the asker's loans, or
+// counts with another list.
+TEST_CASE("the start check is confirmed only without need of the asker") {
+  hand_driven borrower;
+  borrower.RunTo(kStart + milliseconds(500));
+  const grant_item own_check = borrower.Last<grant_request>().items.at(0);
+  REQUIRE(own_check.organisation.empty());
+  REQUIRE(borrower.Acquire() == acquire_result::kWait);
+  borrower.Receive("home", TenTokens(borrower.Last<grant_request>().id));
+  REQUIRE(borrower.Acquire() == acquire_result::kAcquired);
+  const auto is_confirmed = [&](std::uint64_t id, const grant_item& item) {
+    borrower.Receive("home", grant_request{id, grant_mode::kShare, {item}});
+    return borrower.Last<grant_reply>().id == id;
+  };
+  CHECK_FALSE(is_confirmed(21, own_check));  // A call runs on a lent permit.
+  CHECK(borrower.allocator.View(borrower.now)[0].tokens == 0);
+  borrower.allocator.Release("yamaga", false, borrower.now);
+  CHECK_FALSE(is_confirmed(22, {"", 0, own_check.permits + 1}));
+  CHECK(is_confirmed(23, own_check));
+}
+
+// Guards against calls that wait for a home that does not answer.
+TEST_CASE("calls do not wait again for a silent home") {
+  hand_driven borrower;
+  CHECK(borrower.Acquire() == acquire_result::kWait);
+  borrower.now += contract_allocator::kAcquireWait;
+  CHECK(borrower.Acquire() != acquire_result::kWait);
+  borrower.now += milliseconds(100);
+  CHECK(borrower.Acquire() != acquire_result::kWait);
+}
+
+}  // namespace
+}  // namespace pimentohall::core
