Let the slot limiter find the slots of noisy and of cold upstreams

Cause: a limit that shrinks on the median latency of a window against a minimum took noise and slow routes for waiting.

Change: the latency of a call is compared with the mean of its route in calls that found the upstream half empty, and a decision needs the standard error of both. Short dips measure that mean under steady load; a dip to one call tells a slower upstream from waiting calls.

Before/after: 9 test cases over a model in virtual time with seeds 1 to 3. At an upstream with 2 cold slots at most 3 calls are in flight, 5 with exponential latency.

--- a/src/core/slot_limiter.h
+++ b/src/core/slot_limiter.h
@@ -27,12 +27,13 @@
 // standard error, so that noisy latency makes the decision later, not wrong.
 //
 // After overload the limit at which it did not show is kept as the ceiling. A
-// probe goes one above it after 0.5 s, doubling to 8 s while probes fail.
+// probe goes one above it after 0.5 s, doubling to 8 s while probes are shed.
 //
-// If a smaller limit does not lower the latency, the upstream itself became
-// slower; then the smaller limit is undone and the latency is the new normal.
-// Under steady load half of the limit is used for a few calls from time to time
-// to measure the latency without waiting.
+// Under steady load few calls find the upstream half empty. From time to time,
+// and before a doubtful inflation is believed, a dip uses half of the limit for
+// a few calls. A strong inflation is checked by a dip to 1, where nothing
+// waits: what is inflated there is the new normal of an upstream that became
+// slower.
 //
 // A refused connection and the loss of several connections at once make the
 // upstream cold again. Reports of health and load can only halve the limit for
@@ -52,6 +53,8 @@
     std::uint64_t serial = 0;
     int level = 0;  // Calls in flight with this one.
     instant started{};
+    bool is_unqueued = false;  // At most half of the limit was in use.
+    bool is_dip = false;       // Measured by the current dip.
   };
 
   // Greatest limit.
@@ -79,36 +82,51 @@
   // Latency of a route without waiting, in microseconds.
   struct baseline {
     double mean = 0;
-    int samples = 0;
+    int samples = 0;  // At most `kMaxBaselineSamples`.
   };
   struct window {
     int samples = 0;
     double sum = 0;
     double square_sum = 0;
+    double baseline_variance_sum = 0;
+    double latency_sum = 0;
+    double baseline_sum = 0;
   };
-  // The last reduction for inflated latency.
-  struct reduction {
-    int from = 0;  // 0: none.
-    double inflation = 0;
+  struct estimate {
+    double mean = 0;  // Inflation of the latency; 1: no waiting.
+    // The same weighted by the time of the calls. By Little's law it is the
+    // limit over the slots, but it is noisier when routes differ.
+    double weighted = 0;
+    double error = 0;  // Standard error, that of the baselines included.
+    double baseline_error = 0;
+    double baseline_samples = 0;
   };
-
   void OnAnswered(const ticket& call, const std::string& route, instant now);
   void OnTimedOut(const ticket& call, const std::string& route, instant now);
   void OnShed(const ticket& call, instant now);
   void OnLost(instant now);
   void OnRefused(instant now);
-  double RouteLatency(const std::string& route, double latency,
-                      bool is_unqueued);
-  void AddSample(const ticket& call, double inflation, instant now);
+  const baseline& Baseline(const std::string& route, double latency,
+                           bool is_unqueued);
+  void AddSample(const ticket& call, double latency, const baseline& normal,
+                 instant now);
+  static void Add(window* to, double latency, const baseline& normal);
+  static estimate Estimate(const window& from);
   void Evaluate(instant now);
   double Threshold() const;
   void Grow(instant now);
-  void Reduce(int to, instant now);
+  void Reduce(int to, duration probe_after, instant now);
+  void ReduceForShed(int to, instant now);
   void OnInflated(double inflation, instant now);
-  void Rebase(double inflation);
+  void CheckInflation(const estimate& seen, instant now);
+  void Rebase(double inflation, int samples);
   void FallCold();
   void Pause(instant now);
-  void StartDipIfDue();
+  int DipSamples() const;
+  bool MayDip(instant now) const { return now >= next_dip_; }
+  void StartDip(int limit, instant now);
+  void EndDip(instant now);
+  void TakeDipAsNormal(double inflation);
   void CountGoodUnderCap(instant now);
 
   int max_ = 100;
@@ -122,12 +140,17 @@
   std::uint64_t first_serial_ = 1;
   int answers_since_reduction_ = 0;
   window window_;
-  reduction reduction_;
   std::unordered_map<std::string, baseline> baselines_;
   int saturated_since_dip_ = 0;
-  int dip_samples_ = 0;  // Left in the current dip.
-  int timeouts_ = 0;     // In a row.
-  int refusals_ = 0;     // In a row.
+  int dip_limit_ = 0;  // 0: no dip.
+  instant dip_since_{};
+  instant next_dip_{};
+  int dip_started_ = 0;
+  int dip_answers_ = 0;
+  window dip_;
+  double suspected_inflation_ = 0;  // The dip decides on it; 0: none.
+  int timeouts_ = 0;                // In a row.
+  int refusals_ = 0;                // In a row.
   duration pause_{0};
   instant paused_until_{};
   instant last_lost_ = instant::min();
--- /dev/null
+++ b/testing/unit/slot_limiter_test.cc
@@ -0,0 +1,440 @@
+#include "core/slot_limiter.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pimentohall::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using result = slot_limiter::call_result;
+
+enum class spread { kConstant, kExponential, kHeavyTail };
+
+// An upstream with `slots` workers and a queue; calls beyond both are shed
+// after 1 ms. While cold it has fewer workers.
+struct upstream_model {
+  std::string name;
+  int slots = 10;
+  int queue = 1000;
+  int cold_slots = 10;
+  duration cold_for{0};
+  spread noise = spread::kConstant;
+  std::vector<duration> routes = {milliseconds(20)};
+  // Share of the time in which there are calls to send, in 1 s periods.
+  double duty = 1;
+  duration restart_at{0};  // Becomes cold again without notice.
+  double hang_share = 0;   // Calls that end by a timeout of 1 s.
+};
+
+struct run_result {
+  double share = 0;  // Of the throughput of `slots` after `measure_from`.
+  int cold_peak = 0;
+  int cold_shed = 0;
+  int shed = 0;
+  double at_one = 0;  // Share of the time at limit 1 after `measure_from`.
+  int last_limit = 0;
+  double warm_after_s = -1;  // Until 90% of the slots are in use.
+};
+
+// Sends as many calls as the limiter lets through, in virtual time.
+class simulation {
+ public:
+  simulation(upstream_model model, std::uint64_t seed)
+      : model_(std::move(model)), random_(seed) {
+    limiter_.SetMax(100);
+  }
+
+  // Goes on until `length`; measures from `measure_from`, both since the start.
+  run_result Run(duration length, duration measure_from) {
+    const instant end = instant{} + length;
+    measure_from_ = instant{} + measure_from;
+    answered_ = 0;
+    at_one_ = duration{0};
+    while (now_ < end) {
+      SendAll();
+      const instant before = now_;
+      const bool is_at_one = limiter_.Limit(now_) == 1;
+      Step();
+      if (is_at_one && before >= measure_from_) at_one_ += now_ - before;
+    }
+    const double capacity = model_.slots / MeanService() * model_.duty;
+    outcome_.share = answered_ / Seconds(length - measure_from) / capacity;
+    outcome_.at_one = Seconds(at_one_) / Seconds(length - measure_from);
+    outcome_.last_limit = limiter_.Limit(now_);
+    return outcome_;
+  }
+
+  // Seconds that a call takes on average without waiting.
+  double MeanService() const {
+    double sum = 0;
+    for (duration route : model_.routes) sum += Seconds(route);
+    return sum / static_cast<double>(model_.routes.size());
+  }
+  slot_limiter& Limiter() { return limiter_; }
+  instant Now() const { return now_; }
+
+ private:
+  struct call {
+    slot_limiter::ticket ticket;
+    std::size_t route = 0;
+    duration service{0};
+    result how = result::kAnswered;
+  };
+
+  static double Seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+  }
+  double Uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+  double Noise() {
+    switch (model_.noise) {
+      case spread::kConstant:
+        return 1;
+      case spread::kExponential:
+        return -std::log(1 - Uniform());
+      case spread::kHeavyTail:
+        // 1 call in 20 takes 10 times as long; the mean is 1.
+        return (Uniform() < 0.05 ? 10 : 1) / 1.45;
+    }
+    return 1;
+  }
+  bool IsCold() const {
+    const duration age = now_ - instant{};
+    if (model_.restart_at.count() > 0 && age >= model_.restart_at) {
+      return age < model_.restart_at + model_.cold_for;
+    }
+    return age < model_.cold_for;
+  }
+  int Workers() const { return IsCold() ? model_.cold_slots : model_.slots; }
+
+  void SendAll() {
+    const auto in_second = (now_ - instant{}) % seconds(1);
+    if (Seconds(in_second) >= model_.duty) return;
+    while (auto ticket = limiter_.TryStart(now_)) {
+      if (outcome_.warm_after_s < 0 && 10 * ticket->level >= 9 * model_.slots) {
+        outcome_.warm_after_s = Seconds(now_ - instant{});
+      }
+      call next;
+      next.ticket = *ticket;
+      next.route = random_() % model_.routes.size();
+      next.service = duration(static_cast<std::int64_t>(
+          static_cast<double>(model_.routes[next.route].count()) * Noise()));
+      if (Uniform() < model_.hang_share) {
+        next.service = seconds(1);
+        next.how = result::kTimedOut;
+      }
+      Take(next);
+    }
+    if (IsCold()) {
+      outcome_.cold_peak = std::max(outcome_.cold_peak, limiter_.InFlight());
+    }
+  }
+
+  void Take(call next) {
+    if (busy_ < Workers()) {
+      ++busy_;
+      ends_.emplace(now_ + next.service, next);
+    } else if (static_cast<int>(waiting_.size()) < model_.queue) {
+      waiting_.push_back(next);
+    } else {
+      next.how = result::kShed;
+      ends_.emplace(now_ + milliseconds(1), next);
+    }
+  }
+
+  // Goes on to the next end of a call, at most 1 ms.
+  void Step() {
+    const instant limit = now_ + milliseconds(1);
+    if (ends_.empty() || ends_.begin()->first > limit) {
+      now_ = limit;
+      FillWorkers();
+      return;
+    }
+    now_ = std::max(now_, ends_.begin()->first);
+    const call done = ends_.begin()->second;
+    ends_.erase(ends_.begin());
+    if (done.how == result::kShed) {
+      ++outcome_.shed;
+      if (IsCold()) ++outcome_.cold_shed;
+    } else {
+      --busy_;
+      if (now_ >= measure_from_) ++answered_;
+    }
+    limiter_.OnResult(done.ticket, std::to_string(done.route), done.how, now_);
+    FillWorkers();
+  }
+
+  void FillWorkers() {
+    while (busy_ < Workers() && !waiting_.empty()) {
+      ++busy_;
+      ends_.emplace(now_ + waiting_.front().service, waiting_.front());
+      waiting_.pop_front();
+    }
+  }
+
+  upstream_model model_;
+  std::mt19937_64 random_;
+  slot_limiter limiter_;
+  instant now_{};
+  instant measure_from_{};
+  int busy_ = 0;
+  double answered_ = 0;
+  duration at_one_{0};
+  std::multimap<instant, call> ends_;
+  std::deque<call> waiting_;
+  run_result outcome_;
+};
+
+upstream_model Model(std::string name, int slots, int queue, spread noise) {
+  upstream_model model;
+  model.name = std::move(name);
+  model.slots = slots;
+  model.queue = queue;
+  model.cold_slots = slots;
+  model.noise = noise;
+  return model;
+}
+
+// Guards against a limit that stays below the slots: noise, slow routes and
+// hanging calls must not pass for overload.
+TEST_CASE("slot_limiter uses at least 90% of the slots") {
+  std::vector<upstream_model> models = {
+      Model("10 slots, queue", 10, 1000, spread::kConstant),
+      Model("6 slots, queue", 6, 1000, spread::kConstant),
+      Model("10 slots, shed", 10, 0, spread::kConstant),
+      Model("6 slots, shed", 6, 0, spread::kConstant),
+      Model("10 slots, shed, exponential", 10, 0, spread::kExponential),
+      Model("6 slots, shed, exponential", 6, 0, spread::kExponential),
+      Model("10 slots, queue, exponential", 10, 1000, spread::kExponential),
+      Model("6 slots, queue, exponential", 6, 1000, spread::kExponential),
+      Model("10 slots, queue, heavy tail", 10, 1000, spread::kHeavyTail),
+      Model("6 slots, shed, heavy tail", 6, 0, spread::kHeavyTail),
+  };
+  upstream_model routes = Model("10 slots, queue, routes of 2, 20, 400 ms", 10,
+                                1000, spread::kExponential);
+  routes.routes = {milliseconds(2), milliseconds(20), milliseconds(400)};
+  models.push_back(routes);
+  upstream_model slow =
+      Model("6 slots, queue, 1 s calls", 6, 1000, spread::kExponential);
+  slow.routes = {seconds(1)};
+  models.push_back(slow);
+  for (const upstream_model& model : models) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+      simulation run(model, seed);
+      // Warming up takes a number of calls, so slow ones need more time.
+      const duration unit(static_cast<std::int64_t>(1e6 * run.MeanService()));
+      const run_result got = run.Run(2000 * unit, 200 * unit);
+      INFO("figure: ", model.name, " seed ", seed, ": share ", got.share,
+           ", at limit 1 ", got.at_one, ", last limit ", got.last_limit,
+           ", shed ", got.shed, ", warm after ", got.warm_after_s, " s");
+      CHECK(got.share >= 0.9);
+      CHECK(got.at_one < 0.05);
+      CHECK(got.last_limit <= 2 * model.slots);
+    }
+  }
+}
+
+// Guards against growth that overruns a cold upstream, after its start and
+// after a restart that nothing announced.
+TEST_CASE("slot_limiter stays within what a cold upstream bears") {
+  struct row {
+    std::string name;
+    int cold_slots;
+    int queue;
+    spread noise;
+    int most;  // In flight while cold.
+    int most_shed;
+  };
+  // One call above the slots finds out where they end; noise hides this for a
+  // few answers.
+  const row rows[] = {
+      {"1 of 10 slots, queue", 1, 1000, spread::kConstant, 2, 0},
+      {"2 of 10 slots, queue", 2, 1000, spread::kConstant, 3, 0},
+      {"1 of 10 slots, shed", 1, 0, spread::kConstant, 2, 12},
+      {"2 of 10 slots, shed", 2, 0, spread::kConstant, 3, 12},
+      {"2 of 10 slots, queue, exponential", 2, 1000, spread::kExponential, 5,
+       0},
+      {"2 of 10 slots, shed, exponential", 2, 0, spread::kExponential, 3, 16},
+  };
+  for (const row& each : rows) {
+    for (std::uint64_t seed : {1, 2, 3}) {
+      upstream_model model = Model(each.name, 10, each.queue, each.noise);
+      model.cold_slots = each.cold_slots;
+      model.cold_for = seconds(10);
+      simulation run(model, seed);
+      const run_result got = run.Run(seconds(60), seconds(25));
+      INFO("figure: cold, ", each.name, " seed ", seed, ": in flight ",
+           got.cold_peak, ", shed while cold ", got.cold_shed, ", share after ",
+           got.share);
+      CHECK(got.cold_peak <= each.most);
+      CHECK(got.cold_shed <= each.most_shed);
+      CHECK(got.share >= 0.9);
+    }
+  }
+}
+
+// Guards against a limit that stays high when the upstream restarts unnoticed:
+// only the calls in flight at that moment may exceed what it bears.
+TEST_CASE("slot_limiter notices an upstream that becomes cold again") {
+  for (int queue : {0, 1000}) {
+    upstream_model model = Model("restart", 10, queue, spread::kConstant);
+    model.cold_slots = 2;
+    model.cold_for = seconds(10);
+    model.restart_at = seconds(30);
+    simulation run(model, 1);
+    run.Run(seconds(30), seconds(20));
+    const run_result cold = run.Run(seconds(32), seconds(31));
+    INFO("figure: restart, queue ", queue, ": limit after 2 s ",
+         cold.last_limit, ", shed ", cold.shed);
+    CHECK(cold.last_limit <= 3);
+    const run_result warm = run.Run(seconds(90), seconds(55));
+    INFO("figure: restart, queue ", queue, ": share after the cold phase ",
+         warm.share);
+    CHECK(warm.share >= 0.9);
+  }
+}
+
+// Guards against idle time that passes for headroom, and against a limit that
+// survives a long idle time in which the upstream may have restarted.
+TEST_CASE("slot_limiter learns nothing from an idle upstream") {
+  slot_limiter limiter;
+  instant now{};
+  for (int i = 0; i < 10000; ++i) {
+    const auto call = limiter.TryStart(now);
+    REQUIRE(call);
+    now += milliseconds(10);
+    limiter.OnResult(*call, "route", result::kAnswered, now);
+    now += milliseconds(50);
+  }
+  CHECK(limiter.Limit(now) <= 2);
+
+  simulation busy(Model("busy", 10, 0, spread::kConstant), 1);
+  busy.Run(seconds(10), seconds(5));
+  REQUIRE(busy.Limiter().Limit(busy.Now()) >= 9);
+  while (busy.Limiter().InFlight() > 0) {
+    busy.Limiter().OnResult({}, "0", result::kAbandoned, busy.Now());
+  }
+  REQUIRE(busy.Limiter().TryStart(busy.Now() + seconds(40)));
+  CHECK(busy.Limiter().Limit(busy.Now() + seconds(40)) <= 1);
+}
+
+// Guards against calls that hang at random and stop all others.
+TEST_CASE("slot_limiter keeps most slots although some calls hang") {
+  upstream_model model = Model("hang", 10, 1000, spread::kConstant);
+  model.hang_share = 0.02;
+  simulation run(model, 1);
+  const run_result got = run.Run(seconds(120), seconds(10));
+  // A hanging call holds its slot for 1 s, 50 times as long as another.
+  const double possible = 1 / (0.98 + 0.02 * 50);
+  INFO("figure: 2% of the calls hang: share of the possible ",
+       got.share / possible, ", at limit 1 ", got.at_one);
+  CHECK(got.share >= 0.8 * possible);
+  CHECK(got.at_one < 0.05);
+}
+
+// Guards against a misleading report that stops service for good.
+TEST_CASE("slot_limiter lets answers outrank reports") {
+  struct row {
+    bool healthy;
+    double load;
+  };
+  for (const row& each : {row{false, 0}, row{true, 1}, row{false, 1}}) {
+    simulation run(Model("reports", 10, 0, spread::kConstant), 1);
+    run.Run(seconds(10), seconds(5));
+    slot_limiter& limiter = run.Limiter();
+    const int before = limiter.Limit(run.Now());
+    limiter.OnReport(each.healthy, each.load, run.Now());
+    CHECK(limiter.Limit(run.Now()) <= before);
+    for (int second = 11; second < 70; ++second) {
+      limiter.OnReport(each.healthy, each.load, run.Now());
+      run.Run(seconds(second), seconds(second - 1));
+    }
+    const run_result got = run.Run(seconds(100), seconds(80));
+    INFO("figure: report healthy ", each.healthy, " load ", each.load,
+         ": limit ", before, " before, share with reports each second ",
+         got.share);
+    CHECK(got.share >= 0.9);
+  }
+}
+
+// Guards against reports that raise the limit.
+TEST_CASE("slot_limiter lowers the limit for a report but never raises it") {
+  simulation run(Model("reports", 10, 0, spread::kConstant), 1);
+  run.Run(seconds(10), seconds(5));
+  slot_limiter& limiter = run.Limiter();
+  const int before = limiter.Limit(run.Now());
+  limiter.OnReport(true, 0, run.Now());
+  CHECK(limiter.Limit(run.Now()) == before);
+  limiter.OnReport(false, 0, run.Now());
+  CHECK(limiter.Limit(run.Now()) == before / 2);
+  limiter.OnReport(true, 0, run.Now());
+  CHECK(limiter.Limit(run.Now()) == before / 2);
+  CHECK(limiter.Limit(run.Now() + seconds(6)) == before);
+}
+
+// Guards against an upstream that is treated as warm after it died.
+TEST_CASE("slot_limiter falls back to cold") {
+  struct row {
+    const char* name;
+    std::vector<result> results;
+    duration gap;
+    bool is_cold;
+  };
+  const row rows[] = {
+      {"refused", {result::kRefused}, duration{0}, true},
+      {"two lost at once",
+       {result::kLost, result::kLost},
+       milliseconds(5),
+       true},
+      {"one lost", {result::kLost}, duration{0}, false},
+      {"two lost far apart", {result::kLost, result::kLost}, seconds(1), false},
+      {"cancelled",
+       {result::kAbandoned, result::kAbandoned},
+       duration{0},
+       false},
+  };
+  for (const row& each : rows) {
+    CAPTURE(each.name);
+    simulation run(Model("fall", 10, 0, spread::kConstant), 1);
+    run.Run(seconds(10), seconds(5));
+    slot_limiter& limiter = run.Limiter();
+    instant now = run.Now();
+    for (result how : each.results) {
+      limiter.OnResult({}, "0", how, now);
+      now += each.gap;
+    }
+    CHECK((limiter.Limit(now) == 1) == each.is_cold);
+  }
+}
+
+// Guards against a refused upstream that is asked again at once, or never.
+TEST_CASE("slot_limiter pauses after refused connections") {
+  slot_limiter limiter;
+  instant now{};
+  duration pause{0};
+  for (int i = 0; i < 10; ++i) {
+    const auto call = limiter.TryStart(now);
+    REQUIRE(call);
+    limiter.OnResult(*call, "route", result::kRefused, now);
+    CHECK_FALSE(limiter.HasRoom(now));
+    pause = limiter.PausedUntil() - now;
+    now = limiter.PausedUntil();
+  }
+  CHECK(limiter.IsDown());
+  CHECK(pause == seconds(1));
+  const auto call = limiter.TryStart(now);
+  limiter.OnResult(*call, "route", result::kAnswered, now);
+  CHECK_FALSE(limiter.IsDown());
+  CHECK(limiter.HasRoom(now));
+}
+
+}  // namespace
+}  // namespace pimentohall::core
