--- a/src/core/egress.cc
+++ b/src/core/egress.cc
@@ -40,11 +40,18 @@
     }
   }
   for (auto& [name, old] : before) RemoveUpstream(std::move(old), now, out);
+  removed_.erase(std::remove_if(removed_.begin(), removed_.end(),
+                                [](const auto& each) {
+                                  return each == nullptr ||
+                                         each->running.empty();
+                                }),
+                 removed_.end());
 }
 
 void egress::TakeOver(const config::upstream& upstream, instant now,
                       actions* out) {
   auto& at = upstreams_[upstream.name];
+  if (at == nullptr) at = TakeRemoved(upstream);
   if (at == nullptr) at = std::make_unique<guarded>();
   at->upstream = upstream;
   at->limiter.SetMax(upstream.max_connections);
@@ -56,14 +63,20 @@
   Dispatch(at.get(), now, out);
 }
 
+// An upstream that was removed and returns may still run calls; they count.
+std::unique_ptr<egress::guarded> egress::TakeRemoved(
+    const config::upstream& upstream) {
+  for (auto& each : removed_) {
+    if (each == nullptr || each->upstream.name != upstream.name) continue;
+    if (IsSameProcess(each->upstream, upstream)) return std::move(each);
+  }
+  return nullptr;
+}
+
 void egress::RemoveUpstream(std::unique_ptr<guarded> at, instant now,
                             actions* out) {
   DropWaiting(at.get(), reason::kUnknownUpstream, now, out);
   removed_.push_back(std::move(at));
-  removed_.erase(
-      std::remove_if(removed_.begin(), removed_.end(),
-                     [](const auto& each) { return each->running.empty(); }),
-      removed_.end());
 }
 
 // ---------------------------------------------------------------------------
@@ -319,7 +332,8 @@
   out->push_back(std::move(cancel));
 }
 
-// Ends a call that its ingress daemon no longer wants.
+// Ends a call that its ingress daemon no longer wants. The caller dispatches
+// after the last one, so that none of them starts or is answered meanwhile.
 void egress::GiveUp(std::uint64_t serial, instant now, actions* out) {
   call& which = calls_.at(serial);
   guarded* at = which.at;
@@ -328,7 +342,6 @@
       at->queue.Remove(serial);
       FinishKey(&which, dedup_cache::fate::kNotRun, now);
       Forget(serial, now);
-      Dispatch(at, now, out);
       break;
     case call_state::kRunning:
       Abandon(serial, now, out);
@@ -341,8 +354,11 @@
 void egress::OnPeerCancel(const peer_cancel& cancel, instant now,
                           actions* out) {
   std::uint64_t serial = 0;
-  if (FindCall(cancel.vm, cancel.attempt, &serial) != nullptr) {
+  const call* which = FindCall(cancel.vm, cancel.attempt, &serial);
+  if (which != nullptr) {
+    guarded* at = which->at;
     GiveUp(serial, now, out);
+    Dispatch(at, now, out);
     return;
   }
   // A call that arrives after its cancellation must not start.
@@ -354,10 +370,8 @@
   for (const auto& [serial, each] : calls_) {
     if (each.vm == vm) gone.push_back(serial);
   }
-  // The newest first, so that none of them starts when another one ends.
-  for (auto it = gone.rbegin(); it != gone.rend(); ++it) {
-    GiveUp(*it, now, out);
-  }
+  for (std::uint64_t serial : gone) GiveUp(serial, now, out);
+  for (auto& [name, at] : upstreams_) Dispatch(at.get(), now, out);
 }
 
 void egress::OnUpstreamAnswered(const upstream_answered& answer, instant now,
--- a/src/core/egress.h
+++ b/src/core/egress.h
@@ -193,6 +193,7 @@
   static bool IsAloneRunning(const guarded& at, instant now);
   upstream_load LoadOf(const guarded& at, instant now) const;
   void TakeOver(const config::upstream& upstream, instant now, actions* out);
+  std::unique_ptr<guarded> TakeRemoved(const config::upstream& upstream);
   void RemoveUpstream(std::unique_ptr<guarded> at, instant now, actions* out);
 
   std::string vm_;
--- a/src/core/fair_queue.cc
+++ b/src/core/fair_queue.cc
@@ -141,16 +141,28 @@
   return count;
 }
 
+std::pair<double, double> fair_queue::Excess(
+    const std::string& organisation) const {
+  const std::size_t queued = Queued(organisation);
+  const std::size_t beyond = queued - std::min(queued, kBurst);
+  const double weight = Weight(organisation);
+  return {static_cast<double>(beyond) / weight,
+          static_cast<double>(queued) / weight};
+}
+
 // Among equals `preferred` loses, then the first by name.
 std::string fair_queue::LongestOrganisation(
     const std::string& preferred) const {
   std::string longest = preferred;
-  double greatest = static_cast<double>(Queued(preferred)) / Weight(preferred);
+  auto greatest = Excess(preferred);
   for (const lane& waiting : lanes_) {
     for (const auto& [name, candidate] : waiting.flows) {
-      const double relative = static_cast<double>(Queued(name)) / Weight(name);
-      if (relative <= greatest) continue;
-      greatest = relative;
+      const auto excess = Excess(name);
+      const bool is_longer =
+          excess > greatest ||
+          (excess == greatest && longest != preferred && name < longest);
+      if (!is_longer) continue;
+      greatest = excess;
       longest = name;
     }
   }
--- a/src/core/fair_queue.h
+++ b/src/core/fair_queue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pimentohall/config.h"
@@ -33,6 +34,10 @@
  public:
   static constexpr std::size_t kCapacity = 64;
   static constexpr int kOvernightShare = 16;
+  // Calls that any organisation may have waiting before its weight counts. A
+  // tenth of the queue alone would lose 1 call in 20 of an organisation that
+  // sends 90% of its share at random times.
+  static constexpr std::size_t kBurst = 8;
 
   struct entry {
     std::uint64_t id = 0;
@@ -51,7 +56,8 @@
 
   // Adds a call. Returns the call that is refused, if any: the new one with
   // kDeadline if it would wait beyond its deadline, or, when the queue is full,
-  // the newest call of the organisation with the most calls for its weight.
+  // the newest call of the organisation with the most calls beyond `kBurst` for
+  // its weight.
   // `slots` is the number of calls that the upstream runs at a time; with
   // `has_room` the call can start at once.
   std::optional<refusal> Push(const entry& call, int slots, bool has_room,
@@ -98,6 +104,9 @@
   std::size_t NextLane() const;
   static const entry* FirstOf(const lane& waiting);
   std::size_t Queued(const std::string& organisation) const;
+  // Orders organisations by the calls that they hold for their weight: first
+  // those beyond `kBurst`, then all.
+  std::pair<double, double> Excess(const std::string& organisation) const;
   std::string LongestOrganisation(const std::string& preferred) const;
   std::uint64_t RemoveNewest(const std::string& organisation);
   void EraseAt(lane* waiting, lane_flow found, std::size_t position);
--- a/src/core/router.cc
+++ b/src/core/router.cc
@@ -102,8 +102,8 @@
   }
 }
 
-bool router::IsUsable(const target& candidate, const query& query,
-                      instant now) const {
+bool router::IsOpen(const target& candidate, const query& query,
+                    instant now) const {
   const upstream_state& state = *candidate.state;
   if (now < state.draining_until) return false;
   if (state.is_ejected && (state.is_probing || now < state.ejected_until)) {
@@ -113,6 +113,10 @@
   for (const std::string& tried : query.exclude) {
     if (tried == name) return false;
   }
+  return true;
+}
+
+bool router::IsReachable(const target& candidate, instant now) const {
   return candidate.is_self || members_->IsUsable(candidate.upstream->vm, now);
 }
 
@@ -129,36 +133,47 @@
   return calls / limit;
 }
 
-// One usable upstream of the first `count`, other than `other`.
+// One upstream of the first `count` that may be used, other than `other`.
 const router::target* router::Draw(const service_targets& targets,
                                    std::size_t count, const query& query,
-                                   const target* other, instant now) {
+                                   bool check_links, const target* other,
+                                   instant now) {
   if (count == 0) return nullptr;
+  const auto may_use = [&](const target& candidate) {
+    return &candidate != other && IsOpen(candidate, query, now) &&
+           (!check_links || IsReachable(candidate, now));
+  };
   std::size_t index = 0;
   for (int i = 0; i < kDraws; ++i) {
     index = random_() % count;
-    const target& candidate = targets.all[index];
-    if (&candidate != other && IsUsable(candidate, query, now)) {
-      return &candidate;
-    }
+    if (may_use(targets.all[index])) return &targets.all[index];
   }
   for (std::size_t i = 0; i < count; ++i) {
     const target& candidate = targets.all[(index + i) % count];
-    if (&candidate != other && IsUsable(candidate, query, now)) {
-      return &candidate;
-    }
+    if (may_use(candidate)) return &candidate;
   }
   return nullptr;
 }
 
+const router::target* router::LessLoadedOfTwo(const service_targets& targets,
+                                              std::size_t count,
+                                              const query& query,
+                                              bool check_links, instant now) {
+  const target* first = Draw(targets, count, query, check_links, nullptr, now);
+  if (first == nullptr || count == 1) return first;
+  const target* second = Draw(targets, count, query, check_links, first, now);
+  if (second == nullptr) return first;
+  return Load(*second, now) < Load(*first, now) ? second : first;
+}
+
+// Links are checked for the picked upstream only, since that check costs most
+// of a pick in a large fleet; all candidates are checked if it fails.
 const router::target* router::PickOfTwo(const service_targets& targets,
                                         std::size_t count, const query& query,
                                         instant now) {
-  const target* first = Draw(targets, count, query, nullptr, now);
-  if (first == nullptr) return nullptr;
-  const target* second = Draw(targets, count, query, first, now);
-  if (second == nullptr) return first;
-  return Load(*second, now) < Load(*first, now) ? second : first;
+  const target* picked = LessLoadedOfTwo(targets, count, query, false, now);
+  if (picked == nullptr || IsReachable(*picked, now)) return picked;
+  return LessLoadedOfTwo(targets, count, query, true, now);
 }
 
 bool router::StaysNear(double load) {
@@ -179,7 +194,8 @@
     const std::uint64_t weight =
         XXH64(&candidate.name_hash, sizeof(candidate.name_hash), salt);
     if (best != nullptr && weight <= best_weight) continue;
-    if (!IsUsable(candidate, query, now)) continue;
+    if (!IsOpen(candidate, query, now)) continue;
+    if (!IsReachable(candidate, now)) continue;
     best = &candidate;
     best_weight = weight;
   }
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -108,12 +108,18 @@
   void Rebuild();
   void RebuildService(const config::service& service);
   void KeepStates();
-  bool IsUsable(const target& candidate, const query& query, instant now) const;
+  // What the router knows itself; cheap.
+  bool IsOpen(const target& candidate, const query& query, instant now) const;
+  bool IsReachable(const target& candidate, instant now) const;
   double Load(const target& candidate, instant now) const;
   const target* PickOfTwo(const service_targets& targets, std::size_t count,
                           const query& query, instant now);
+  const target* LessLoadedOfTwo(const service_targets& targets,
+                                std::size_t count, const query& query,
+                                bool check_links, instant now);
   const target* Draw(const service_targets& targets, std::size_t count,
-                     const query& query, const target* other, instant now);
+                     const query& query, bool check_links, const target* other,
+                     instant now);
   const target* PickByAffinity(const service_targets& targets,
                                const query& query, instant now) const;
   bool StaysNear(double load);
