--- a/measure/load/main.cc
+++ b/measure/load/main.cc
@@ -7,7 +7,6 @@
 
 #include <tclap/CmdLine.h>
 
-#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -15,6 +14,7 @@
 
 #include "load/plan.h"
 #include "load/runner.h"
+#include "load/summary.h"
 
 namespace pimentohall::load {
 namespace {
@@ -23,15 +23,7 @@
 
 constexpr int kBadInput = 2;
 
-double PercentileMs(const std::vector<std::uint32_t>& sorted, double share) {
-  if (sorted.empty()) return 0;
-  const auto rank =
-      static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
-  return sorted[rank] / 1000.0;
-}
-
-json ToJson(tally t) {
-  std::sort(t.latencies_us.begin(), t.latencies_us.end());
+json ToJson(const tally& t) {
   json statuses = json::object();
   for (const auto& [status, count] : t.by_status) {
     statuses[std::to_string(status)] = count;
@@ -40,30 +32,15 @@
           {"answered", t.answered},
           {"refused", t.refused},
           {"not_run", t.not_run},
+          {"not_sent", t.not_sent},
           {"broken", t.broken},
           {"lost", t.lost},
           {"crossed", t.crossed},
           {"wrong_organisation", t.wrong_organisation},
           {"statuses", std::move(statuses)},
-          {"p50_ms", PercentileMs(t.latencies_us, 0.5)},
-          {"p99_ms", PercentileMs(t.latencies_us, 0.99)},
-          {"p999_ms", PercentileMs(t.latencies_us, 0.999)}};
-}
-
-void Add(const tally& t, tally* all) {
-  all->calls += t.calls;
-  all->answered += t.answered;
-  all->refused += t.refused;
-  all->not_run += t.not_run;
-  all->broken += t.broken;
-  all->lost += t.lost;
-  all->crossed += t.crossed;
-  all->wrong_organisation += t.wrong_organisation;
-  for (const auto& [status, count] : t.by_status) {
-    all->by_status[status] += count;
-  }
-  all->latencies_us.insert(all->latencies_us.end(), t.latencies_us.begin(),
-                           t.latencies_us.end());
+          {"p50_ms", PercentileMs(t, 0.5)},
+          {"p99_ms", PercentileMs(t, 0.99)},
+          {"p999_ms", PercentileMs(t, 0.999)}};
 }
 
 bool ParseTarget(const std::string& text, target* result) {
@@ -115,16 +92,14 @@
       PlanArrivals(*streams, duration, seed.getValue());
   const std::vector<tally> tallies = Run(options, *streams, calls);
 
-  tally all;
   json by_stream = json::array();
   for (std::size_t i = 0; i < tallies.size(); ++i) {
-    Add(tallies[i], &all);
     json entry = ToJson(tallies[i]);
     entry["organisation"] = (*streams)[i].organisation;
     entry["path"] = (*streams)[i].path;
     by_stream.push_back(std::move(entry));
   }
-  json report = ToJson(all);
+  json report = ToJson(Sum(tallies));
   report["streams"] = std::move(by_stream);
   std::cout << report.dump() << "\n";
   return 0;
--- a/measure/load/runner.cc
+++ b/measure/load/runner.cc
@@ -194,8 +194,10 @@
     const int status =
         request == nullptr ? 0 : evhttp_request_get_response_code(request);
     if (status == 0) {
+      // After a failed connect evhttp passes the request without a status;
+      // after a connection that was closed it passes none.
       const bool timed_out = latency >= options_.answer_timeout;
-      ++(timed_out ? t.lost : t.broken);
+      ++(timed_out ? t.lost : request == nullptr ? t.broken : t.not_sent);
       return;
     }
     ++t.by_status[status];
@@ -204,7 +206,10 @@
       ++t.refused;
       const char* not_run =
           evhttp_find_header(headers, "X-Pimentohall-Not-Run");
-      if (not_run != nullptr && std::strcmp(not_run, "true") == 0) ++t.not_run;
+      if (not_run != nullptr && std::strcmp(not_run, "true") == 0) {
+        ++t.not_run;
+        t.not_run_ids.push_back(IdOf(c->call));
+      }
       return;
     }
     ++t.answered;
--- a/measure/load/runner.h
+++ b/measure/load/runner.h
@@ -28,12 +28,14 @@
   std::uint64_t answered = 0;  // 2xx.
   std::uint64_t refused = 0;   // Any other status.
   std::uint64_t not_run = 0;   // Of those, marked "not run".
-  std::uint64_t broken = 0;    // The connection failed or was closed.
+  std::uint64_t not_sent = 0;  // The target accepted no connection.
+  std::uint64_t broken = 0;    // The connection was closed before the answer.
   std::uint64_t lost = 0;      // No answer within the timeout.
   std::uint64_t crossed = 0;   // The answer carries another call's id.
   std::uint64_t wrong_organisation = 0;
   std::map<int, std::uint64_t> by_status;
   std::vector<std::uint32_t> latencies_us;  // Of answered calls.
+  std::vector<std::string> not_run_ids;     // Of calls marked "not run".
 };
 
 // Sends every planned call at its time, whatever the earlier ones do, and
--- /dev/null
+++ b/testing/fleet/fleet.h
@@ -0,0 +1,106 @@
+#ifndef PIMENTOHALL_TESTING_FLEET_FLEET_H_
+#define PIMENTOHALL_TESTING_FLEET_FLEET_H_
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/child_process.h"
+#include "fleet/configuration.h"
+#include "fleet/fleet_error.h"
+
+namespace pimentohall::testing {
+
+struct fleet_options {
+  std::string programs;  // The build folder.
+  std::string folder;    // For settings and logs; must exist.
+  std::string log_level = "info";
+  // VMs beyond this number are published but not started.
+  std::size_t daemons = 1000;
+  bool upstreams = true;  // Starts a stand-in for each upstream.
+  std::vector<std::string> upstream_arguments;
+};
+
+struct fleet_daemon {
+  std::string vm;
+  std::string zone;
+  int http_port = 0;
+  int link_port = 0;
+  int admin_port = 0;
+  std::string settings_file;
+  child_process process;
+};
+
+struct fleet_upstream {
+  std::string name;
+  std::string service;
+  std::string vm;
+  int port = 0;
+  child_process process;
+};
+
+// A source stand-in, daemons and upstream stand-ins as processes on loopback,
+// for the VMs and upstreams of a configuration. The configuration's ports are
+// replaced by free ones.
+//
+//   auto documents = ReadConfiguration("examples/tsurumaki");
+//   auto f = fleet::Create(options, std::move(*documents));
+//   if (!f) return f.error();
+//   (*f)->Start();
+//   (*f)->WaitReady(std::chrono::seconds(20));
+//
+// All processes end with the object.
+class fleet {
+ public:
+  static fleet_result<std::unique_ptr<fleet>> Create(fleet_options options,
+                                                     configuration documents);
+
+  // Starts the source, publishes the documents, then starts the upstreams and
+  // the daemons.
+  fleet_result<void> Start();
+  fleet_result<void> StartDaemon(fleet_daemon* daemon);
+  fleet_result<void> StartUpstream(fleet_upstream* upstream);
+  // Waits until every running daemon is ready.
+  fleet_result<void> WaitReady(std::chrono::milliseconds bound);
+  // Stops all daemons as planned; true if each ended in time with status 0.
+  bool StopDaemons(std::chrono::milliseconds bound);
+
+  // Edit the documents, then publish them.
+  configuration& Documents() { return documents_; }
+  fleet_result<void> Publish() { return publisher_.Publish(&documents_); }
+  fleet_result<void> PublishVms() { return publisher_.PublishVms(documents_); }
+
+  std::deque<fleet_daemon>& Daemons() { return daemons_; }
+  std::deque<fleet_upstream>& Upstreams() { return upstreams_; }
+  fleet_daemon* FindDaemon(const std::string& vm);
+  std::string ZoneOf(const fleet_upstream& upstream) const;
+  int SourceAdminPort() const { return source_admin_port_; }
+  std::vector<int> AdminPorts() const;
+
+ private:
+  fleet(fleet_options options, configuration documents, int first_port);
+  void AssignPorts(int first_port);
+  fleet_result<void> StartSource();
+  fleet_result<void> WriteSettings(const fleet_daemon& daemon) const;
+  nlohmann::ordered_json BootstrapPeers(const fleet_daemon& of) const;
+  std::string Program(const std::string& name) const;
+  std::string LogFile(const std::string& name) const;
+
+  fleet_options options_;
+  configuration documents_;
+  int source_port_;
+  int source_admin_port_;
+  publisher publisher_;
+  child_process source_;
+  std::deque<fleet_upstream> upstreams_;
+  std::deque<fleet_daemon> daemons_;
+};
+
+// Waits until something answers at the port.
+fleet_result<void> WaitListening(int port, std::chrono::milliseconds bound);
+
+}  // namespace pimentohall::testing
+
+#endif  // PIMENTOHALL_TESTING_FLEET_FLEET_H_
--- /dev/null
+++ b/testing/fleet/ports.h
@@ -0,0 +1,15 @@
+#ifndef PIMENTOHALL_TESTING_FLEET_PORTS_H_
+#define PIMENTOHALL_TESTING_FLEET_PORTS_H_
+
+#include "fleet/fleet_error.h"
+
+namespace pimentohall::testing {
+
+// First of `count` consecutive ports that are all free on loopback now. They
+// lie below the system's range for outgoing connections, which would otherwise
+// take some of them before the children listen.
+fleet_result<int> FindFreePorts(int count);
+
+}  // namespace pimentohall::testing
+
+#endif  // PIMENTOHALL_TESTING_FLEET_PORTS_H_
--- /dev/null
+++ b/testing/fleet/upstream_counts.h
@@ -0,0 +1,39 @@
+#ifndef PIMENTOHALL_TESTING_FLEET_UPSTREAM_COUNTS_H_
+#define PIMENTOHALL_TESTING_FLEET_UPSTREAM_COUNTS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet.h"
+#include "fleet/fleet_error.h"
+
+namespace pimentohall::testing {
+
+// What an upstream stand-in counted, summed over several.
+struct upstream_counts {
+  std::uint64_t calls = 0;
+  std::uint64_t executed = 0;
+  std::uint64_t shed = 0;
+  std::uint64_t keys_seen = 0;
+  std::uint64_t cold_overloads = 0;
+};
+
+fleet_result<upstream_counts> ReadCounts(const std::vector<int>& ports);
+
+// How often each POST call ran, over all the upstreams together. A call that
+// ran once on each of two upstreams counts twice.
+fleet_result<std::map<std::string, std::uint64_t>> ReadPosts(
+    const std::vector<int>& ports);
+
+// Executions beyond the first.
+std::uint64_t CountDoubled(const std::map<std::string, std::uint64_t>& posts);
+
+// Ports of all upstreams, or of those in a zone.
+std::vector<int> UpstreamPorts(fleet* f);
+std::vector<int> UpstreamPorts(fleet* f, const std::string& zone);
+
+}  // namespace pimentohall::testing
+
+#endif  // PIMENTOHALL_TESTING_FLEET_UPSTREAM_COUNTS_H_
--- /dev/null
+++ b/testing/fleet/version_watch.h
@@ -0,0 +1,58 @@
+#ifndef PIMENTOHALL_TESTING_FLEET_VERSION_WATCH_H_
+#define PIMENTOHALL_TESTING_FLEET_VERSION_WATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pimentohall::testing {
+
+// Asks daemons for the version in force again and again, on a thread of its
+// own, and keeps when each first reported a version.
+//
+//   version_watch watch(f->AdminPorts(), std::chrono::milliseconds(20));
+//   const auto published = std::chrono::steady_clock::now();
+//   ...
+//   auto seen = watch.WaitForAll(2, std::chrono::seconds(10));
+//   if (seen) Print(*seen - published);
+class version_watch {
+ public:
+  using time = std::chrono::steady_clock::time_point;
+
+  version_watch(const std::vector<int>& admin_ports,
+                std::chrono::milliseconds interval);
+  ~version_watch();
+  version_watch(const version_watch&) = delete;
+  version_watch& operator=(const version_watch&) = delete;
+
+  // When the last daemon reported `version` or a later one. Nothing if one of
+  // them has not done so after `bound`.
+  std::optional<time> WaitForAll(std::uint64_t version,
+                                 std::chrono::milliseconds bound);
+  // The same, without the daemons at the given places of the list.
+  std::optional<time> WaitForOthers(std::uint64_t version,
+                                    const std::vector<std::size_t>& except,
+                                    std::chrono::milliseconds bound);
+  // The last version that each daemon reported; 0: none.
+  std::vector<std::uint64_t> Versions() const;
+  // How often a daemon reported a lower version than before, over all answers.
+  // "None in force" from a daemon that is starting does not count.
+  std::uint64_t Regressions() const;
+  std::uint64_t Answers() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+// Value of a metric in the Prometheus text format, or nothing. `name` includes
+// the labels: "x_total{direction=\"sent\"}".
+std::optional<double> MetricValue(const std::string& text,
+                                  const std::string& name);
+
+}  // namespace pimentohall::testing
+
+#endif  // PIMENTOHALL_TESTING_FLEET_VERSION_WATCH_H_
--- a/testing/upstream_standin/main.cc
+++ b/testing/upstream_standin/main.cc
@@ -13,6 +13,8 @@
 // Control, under /admin (not reached through the mesh, no route has it):
 //   GET  /admin/counts  {"calls","executed","doubled","shed","cancelled",
 //                        "keys_seen","cold_overloads"}
+//   GET  /admin/posts   "ID COUNT" lines: how often each POST call ran here, to
+//                       find calls that ran on two upstreams
 //   POST /admin/cold, /admin/drain, /admin/serve
 
 #include <tclap/CmdLine.h>
@@ -100,8 +102,8 @@
   void CountExecution(evhttp_request* request) {
     ++executed_;
     const std::string call_id = Header(request, "X-Call-Id");
-    const bool repeats = !call_id.empty() && ++executions_[call_id] > 1;
-    if (repeats && HasMethod(request, EVHTTP_REQ_POST)) ++doubled_;
+    if (call_id.empty() || !HasMethod(request, EVHTTP_REQ_POST)) return;
+    if (++executions_[call_id] > 1) ++doubled_;
   }
 
   void FillSlots() {
@@ -175,6 +177,7 @@
 
   void OnAdmin(evhttp_request* request, const std::string& verb) {
     if (verb == "counts") return Reply(request, 200, Counts());
+    if (verb == "posts") return Reply(request, 200, Posts());
     if (verb == "cold") {
       answers_ = 0;
     } else if (verb == "drain" || verb == "serve") {
@@ -197,12 +200,20 @@
            "\n";
   }
 
+  std::string Posts() const {
+    std::string lines;
+    for (const auto& [call_id, count] : executions_) {
+      lines += call_id + " " + std::to_string(count) + "\n";
+    }
+    return lines;
+  }
+
   http_server* server_;
   upstream_options options_;
   std::mt19937_64 random_;
   std::list<work> running_;
   std::deque<double> samples_;
-  std::unordered_map<std::string, std::uint64_t> executions_;
+  std::unordered_map<std::string, std::uint64_t> executions_;  // Of POST calls.
   int busy_ = 0;
   bool draining_ = false;
   std::uint64_t next_work_ = 0;
