--- a/measure/demo/main.cc
+++ b/measure/demo/main.cc
@@ -317,7 +317,7 @@
   testing::temporary_folder folder;
   if (keep.getValue()) {
     folder.Keep();
-    std::cout << "logs: " << folder.Path() << "\n";
+    std::cout << "logs: " << folder.Path() << std::endl;
   }
   const auto begin = steady::now();
   auto started =
--- a/measure/fleet_measure/convergence.cc
+++ b/measure/fleet_measure/convergence.cc
@@ -111,13 +111,14 @@
 result MeasureSourceOutage(const context& c) {
   const int daemons = OutageDaemons(c);
   const std::chrono::seconds outage(c.quick ? 8 : 20);
-  const auto f = StartConvergenceFleet(c, daemons);
-  if (!f) return tl::make_unexpected(f.error());
-  testing::version_watch watch(f->AdminPorts(), WatchInterval(*f));
-  std::string problem = SourceState(*f, "up=0");
-  const auto published = PublishEdit(*f, 1);
+  const auto started = StartConvergenceFleet(c, daemons);
+  if (!started) return tl::make_unexpected(started.error());
+  const running_fleet& f = *started;
+  testing::version_watch watch(f->AdminPorts(), WatchInterval(f));
+  std::string problem = SourceState(f, "up=0");
+  const auto published = PublishEdit(f, 1);
   std::this_thread::sleep_for(outage);
-  if (problem.empty()) problem = SourceState(*f, "up=1");
+  if (problem.empty()) problem = SourceState(f, "up=1");
   const auto back = steady::now();
   if (!published) return published;
   if (!problem.empty()) return testing::FleetError(problem);
@@ -134,33 +135,34 @@
 
 result MeasurePausedDaemons(const context& c) {
   const int daemons = OutageDaemons(c);
-  const auto f = StartConvergenceFleet(c, daemons);
-  if (!f) return tl::make_unexpected(f.error());
-  testing::version_watch watch(f->AdminPorts(), WatchInterval(*f));
+  const auto started = StartConvergenceFleet(c, daemons);
+  if (!started) return tl::make_unexpected(started.error());
+  const running_fleet& f = *started;
+  testing::version_watch watch(f->AdminPorts(), WatchInterval(f));
   std::vector<std::size_t> paused;
-  for (std::size_t i = 0; i < f->processes->Daemons().size();
+  for (std::size_t i = 0; i < f->Daemons().size();
        i += kPausedShare) {
     paused.push_back(i);
-    f->processes->Daemons()[i].process.Signal(SIGSTOP);
+    f->Daemons()[i].process.Signal(SIGSTOP);
   }
   const auto end = steady::now() + kPause;
   std::vector<double> times;
   for (int i = 0; steady::now() < end; ++i) {
     const auto begin = steady::now();
-    const auto published = PublishEdit(*f, i);
+    const auto published = PublishEdit(f, i);
     if (!published) return published;
     times.push_back(SecondsOrBound(
-        watch.WaitForOthers(f->processes->Documents().version, paused,
+        watch.WaitForOthers(f->Documents().version, paused,
                             kConvergenceBound),
         begin));
     std::this_thread::sleep_for(200ms);
   }
   for (const std::size_t i : paused) {
-    f->processes->Daemons()[i].process.Signal(SIGCONT);
+    f->Daemons()[i].process.Signal(SIGCONT);
   }
   const auto woken = steady::now();
   const auto seen =
-      watch.WaitForAll(f->processes->Documents().version, kConvergenceBound);
+      watch.WaitForAll(f->Documents().version, kConvergenceBound);
   const std::string size = std::to_string(daemons) + " processes, " +
                            std::to_string(paused.size()) + " paused 10 s";
   c.rows->Add("convergence_p99_s", Percentile(times, kP99),
--- a/measure/fleet_measure/faults.cc
+++ b/measure/fleet_measure/faults.cc
@@ -65,23 +65,24 @@
 }  // namespace
 
 result MeasureFaults(const context& c) {
-  const auto f = Start(c);
-  if (!f) return tl::make_unexpected(f.error());
+  const auto started = Start(c);
+  if (!started) return tl::make_unexpected(started.error());
+  const running_fleet& f = *started;
   const int rounds = c.quick ? 1 : 4;
   const auto length = std::chrono::milliseconds(7s) * rounds + 1s;
-  load::background_load calls(PortsWithout(*f, {kKilledVm, kPausedVm}),
+  load::background_load calls(PortsWithout(f, {kKilledVm, kPausedVm}),
                               load::TsurumakiStreams(), length, "faults-",
                               c.seed);
   for (int i = 0; i < rounds; ++i) {
     const auto begin = steady::now();
     std::this_thread::sleep_for(1s);
-    const auto done = DisturbOnce(*f);
+    const auto done = DisturbOnce(f);
     if (!done) return done;
     std::this_thread::sleep_until(begin + 7s);
   }
   const load::tally tally = calls.Finish();
   const auto posts =
-      testing::ReadPosts(testing::UpstreamPorts(f->processes.get()));
+      testing::ReadPosts(testing::UpstreamPorts(f.processes.get()));
   if (!posts) return tl::make_unexpected(posts.error());
   const std::string size =
       "12 daemons, " + std::to_string(tally.calls) + " calls (" +
@@ -99,8 +100,9 @@
 }
 
 result MeasurePlannedStop(const context& c) {
-  const auto f = Start(c);
-  if (!f) return tl::make_unexpected(f.error());
+  const auto started = Start(c);
+  if (!started) return tl::make_unexpected(started.error());
+  const running_fleet& f = *started;
   std::vector<std::string> vms = {"vm-a1", "vm-b2", "vm-c3"};
   if (c.quick) vms.resize(1);
   std::uint64_t cut = 0;
@@ -108,7 +110,7 @@
   std::uint64_t unclean = 0;
   for (std::size_t i = 0; i < vms.size(); ++i) {
     testing::fleet_daemon* stopped = f->FindDaemon(vms[i]);
-    load::background_load others(PortsWithout(*f, {vms[i]}),
+    load::background_load others(PortsWithout(f, {vms[i]}),
                                  load::TsurumakiStreams(), 5s, "others-",
                                  c.seed + i);
     load::background_load at_stopped({stopped->http_port},
@@ -122,9 +124,9 @@
     cut += here.broken + here.lost;
     cut += elsewhere.broken + elsewhere.lost + elsewhere.not_sent;
     calls += here.calls - here.not_sent + elsewhere.calls;
-    auto done = f->StartDaemon(stopped);
-    if (done) done = f->WaitReady(kReadyBound);
-    if (!done) return done;
+    auto returned = f->StartDaemon(stopped);
+    if (returned) returned = f->WaitReady(kReadyBound);
+    if (!returned) return returned;
   }
   c.rows->Add("cut_by_planned_stop", static_cast<double>(cut),
               "12 daemons, " + std::to_string(vms.size()) + " stops, " +
