--- a/testing/fleet/child_process.cc
+++ b/testing/fleet/child_process.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -47,8 +48,14 @@
   _exit(kSignalExitBase + signal);
 }
 
-// In the child, between fork and exec: only async-signal-safe calls.
-[[noreturn]] void Become(char* const* arguments, int log, pid_t parent) {
+// In the child, between fork and exec: only async-signal-safe calls. The errno
+// of a failure goes to `failure`, which exec closes.
+[[noreturn]] void Become(char* const* arguments, int log, int failure,
+                         pid_t parent) {
+  // The parent's handler would end all children from here.
+  for (const int signal : {SIGINT, SIGTERM, SIGHUP, SIGPIPE}) {
+    std::signal(signal, SIG_DFL);
+  }
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != parent) _exit(kExecFailed);
   dup2(log, STDOUT_FILENO);
@@ -56,7 +63,17 @@
   const int none = open("/dev/null", O_RDONLY);
   dup2(none, STDIN_FILENO);
   execv(arguments[0], arguments);
-  _exit(kExecFailed);
+  const int error = errno;
+  const ssize_t written = write(failure, &error, sizeof(error));
+  _exit(written > 0 ? kExecFailed : kExecFailed + 1);
+}
+
+// Waits until the child runs the program. A signal sent before that would hit
+// the copy of this process.
+int WaitExec(int failure) {
+  int error = 0;
+  const ssize_t size = read(failure, &error, sizeof(error));
+  return size > 0 ? error : 0;
 }
 
 }  // namespace
@@ -70,9 +87,6 @@
 
 fleet_result<child_process> child_process::Start(
     const std::vector<std::string>& command, const std::string& log_file) {
-  if (access(command.front().c_str(), X_OK) != 0) {
-    return FleetError(command.front() + ": " + std::strerror(errno));
-  }
   const int log = open(log_file.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
   if (log < 0) return FleetError(log_file + ": " + std::strerror(errno));
@@ -82,17 +96,22 @@
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
   arguments.push_back(nullptr);
+  std::array<int, 2> failure = {-1, -1};
+  if (pipe2(failure.data(), O_CLOEXEC) != 0) {
+    close(log);
+    return FleetError(std::string("pipe: ") + std::strerror(errno));
+  }
   const pid_t parent = getpid();
   const pid_t id = fork();
-  if (id == 0) Become(arguments.data(), log, parent);
+  if (id == 0) Become(arguments.data(), log, failure[1], parent);
   close(log);
-  if (id < 0) return FleetError(std::string("fork: ") + std::strerror(errno));
+  close(failure[1]);
   child_process child;
-  child.id_ = id;
-  if (!Register(id)) {
-    child.Kill();
-    return FleetError("too many child processes");
-  }
+  child.id_ = std::max(id, 0);
+  const int error = id < 0 ? errno : WaitExec(failure[0]);
+  close(failure[0]);
+  if (error != 0) return FleetError(command.front() + ": " + std::strerror(error));
+  if (!Register(id)) return FleetError("too many child processes");
   return child;
 }
 
--- a/testing/fleet/target_config.cc
+++ b/testing/fleet/target_config.cc
@@ -61,9 +61,7 @@
                                         "GET", true),
                                   Route(Numbered("post-", number), "/" + name,
                                         "POST", false)})},
-          {"upstreams", std::move(upstreams)},
-          {"health_path", ""},
-          {"load_path", ""}};
+          {"upstreams", std::move(upstreams)}};
 }
 
 json Organisation(const config_size& size, int number) {
