--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,27 +1,25 @@
-// pimentohalld: the daemon beside an upstream VM.
+// pimentohalld: the daemon beside each upstream VM.
 //
-//   pimentohalld --settings FILE
-//   pimentohalld --check-settings FILE
+//   pimentohalld --settings FILE        runs until stopped
+//   pimentohalld --check-settings FILE  prints every fault and exits
 //
 // Signals: SIGTERM and SIGINT begin a planned stop, SIGHUP reloads the
-// certificates. Exit codes: 0 stopped or settings in order, 1 a port can't be
-// used, 2 bad arguments or settings.
+// certificates. Exit status: 0 after a planned stop or good settings, 1 if a
+// port or a certificate can't be used, 2 for bad settings or arguments.
 
 #include <tclap/CmdLine.h>
 
 #include <csignal>
-#include <iostream>
-#include <memory>
+#include <cstdio>
 #include <random>
 
-#include "pimentohall/core.h"
 #include "pimentohall/net.h"
 
 namespace pimentohall {
 namespace {
 
-constexpr int kCannotListen = 1;
-constexpr int kBadInput = 2;
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
 
 class core_engine : public net::decision_engine {
  public:
@@ -49,21 +47,28 @@
   core::engine engine_;
 };
 
+std::uint64_t RandomNumber() {
+  std::random_device source;
+  return std::uniform_int_distribution<std::uint64_t>()(source);
+}
+
 core::engine_options EngineOptions(const net::daemon_settings& settings) {
-  // Seeds come from the operating system here; the engine itself has none.
-  std::random_device entropy;
-  const auto random64 = [&entropy] {
-    return (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
-  };
   core::engine_options options;
   options.vm = settings.vm;
   options.zone = settings.zone;
-  options.incarnation = random64();
-  options.seed = random64();
+  options.incarnation = RandomNumber();
+  options.seed = RandomNumber();
   options.bootstrap_peers = settings.bootstrap_peers;
   return options;
 }
 
+int PrintFaults(const config::faults& faults) {
+  for (const config::fault& fault : faults) {
+    std::fprintf(stderr, "%s\n", fault.ToString().c_str());
+  }
+  return kExitBadSettings;
+}
+
 int Run(const net::daemon_settings& settings) {
   net::SetLogLevel(settings.level);
   net::event_loop loop;
@@ -74,36 +79,52 @@
     loop.OnSignal(signal_number, [&host] { host.BeginStop(); });
   }
   loop.OnSignal(SIGHUP, [&host] { host.ReloadCertificates(); });
-  const auto ports = host.Listen();
-  if (!ports) {
-    net::Log(core::log_level::kError, "can't listen",
+  if (const auto ports = host.Listen(); !ports) {
+    net::Log(core::log_level::kError, "can't start",
              {{"problem", ports.error()}});
-    return kCannotListen;
+    return kExitFailed;
   }
   loop.Run();
   return 0;
 }
 
+struct arguments {
+  std::string settings;
+  bool check_only = false;
+};
+
+// TCLAP reports faults by exceptions; they end here.
+tl::expected<arguments, std::string> ParseArguments(int argc, char** argv) {
+  try {
+    TCLAP::CmdLine line("Configuration and call proxy of a service mesh", ' ',
+                        net::VersionText());
+    line.setExceptionHandling(false);
+    TCLAP::ValueArg<std::string> run(
+        "s", "settings", "Runs with these settings", true, "", "FILE");
+    TCLAP::ValueArg<std::string> check("c", "check-settings",
+                                       "Checks these settings and exits", true,
+                                       "", "FILE");
+    line.xorAdd(run, check);
+    line.parse(argc, argv);
+    if (check.isSet()) return arguments{check.getValue(), true};
+    return arguments{run.getValue(), false};
+  } catch (const TCLAP::ArgException& problem) {
+    return tl::make_unexpected(problem.error() + " " + problem.argId());
+  } catch (const TCLAP::ExitException& exit) {
+    std::exit(exit.getExitStatus());
+  }
+}
+
 int Main(int argc, char** argv) {
-  TCLAP::CmdLine line("Daemon of the service mesh", ' ', net::VersionText());
-  TCLAP::ValueArg<std::string> file("s", "settings", "settings to run with",
-                                    true, "", "file");
-  TCLAP::ValueArg<std::string> check("c", "check-settings",
-                                     "settings to check, without running", true,
-                                     "", "file");
-  line.xorAdd(file, check);
-  line.parse(argc, argv);
-
-  const std::string path = file.isSet() ? file.getValue() : check.getValue();
-  const auto settings = net::LoadSettings(path);
-  if (!settings) {
-    for (const config::fault& fault : settings.error()) {
-      std::cerr << fault.ToString() << "\n";
-    }
-    return kBadInput;
+  const auto given = ParseArguments(argc, argv);
+  if (!given) {
+    std::fprintf(stderr, "%s\n", given.error().c_str());
+    return kExitBadSettings;
   }
-  if (check.isSet()) {
-    std::cout << path << ": ok\n";
+  const auto settings = net::LoadSettings(given->settings);
+  if (!settings) return PrintFaults(settings.error());
+  if (given->check_only) {
+    std::printf("%s: ok\n", given->settings.c_str());
     return 0;
   }
   return Run(*settings);
