--- a/measure/core_bench/main.cc
+++ b/measure/core_bench/main.cc
@@ -24,7 +24,8 @@
 
 using testing::config_size;
 
-// Today's deployment: 12 upstreams, 4 services, 8 organisations with a key each.
+// Today's deployment: 12 upstreams, 4 services, 8 organisations with a key
+// each.
 config_size Today() {
   config_size size;
   size.zones = 3;
@@ -251,11 +252,11 @@
     if (today == medians_.end() || target == medians_.end()) {
       return rows->AddMissing(row, "the benchmark did not run");
     }
-    const std::string size =
-        "2,200 upstreams, 120 services, 10,000 keys (" +
-        std::to_string(static_cast<int>(target->second)) +
-        " ns) against 12, 4, 8 (" +
-        std::to_string(static_cast<int>(today->second)) + " ns)";
+    const std::string size = "2,200 upstreams, 120 services, 10,000 keys (" +
+                             std::to_string(static_cast<int>(target->second)) +
+                             " ns) against 12, 4, 8 (" +
+                             std::to_string(static_cast<int>(today->second)) +
+                             " ns)";
     rows->Add(row, target->second / today->second, size, 1);
   }
 
@@ -280,8 +281,7 @@
     }
   }
   // Interleaved, so that a busy moment of the machine falls on both sizes.
-  std::string interleaved =
-      "--benchmark_enable_random_interleaving=true";
+  std::string interleaved = "--benchmark_enable_random_interleaving=true";
   for (std::string* text : {&repetitions, &time, &interleaved}) {
     arguments.push_back(text->data());
   }
--- a/measure/demo/main.cc
+++ b/measure/demo/main.cc
@@ -157,9 +157,9 @@
   fleet_result<void> WithdrawKey() {
     const auto calls = StartLoad(6s);
     std::this_thread::sleep_for(500ms);
-    const auto before = testing::ProbeKey(HttpPorts(), "/ledger/balance/1",
-                                          kWithdrawnKey, steady::now(),
-                                          steady::now() + 500ms);
+    const auto before =
+        testing::ProbeKey(HttpPorts(), "/ledger/balance/1", kWithdrawnKey,
+                          steady::now(), steady::now() + 500ms);
     Check(before.seen_new == 0 && before.last_old > 0s,
           "the key was accepted before it was withdrawn");
     testing::WithdrawKey(&fleet_->Documents(), "yamaga", "second");
--- a/measure/fleet_measure/changes.cc
+++ b/measure/fleet_measure/changes.cc
@@ -75,8 +75,7 @@
   double slowest_leave = 0;
   double slowest_key = 0;
   for (int i = 0; i < repetitions; ++i) {
-    const auto leave =
-        LeaveZone(*f, c.seed + static_cast<std::uint64_t>(i));
+    const auto leave = LeaveZone(*f, c.seed + static_cast<std::uint64_t>(i));
     if (!leave) return tl::make_unexpected(leave.error());
     slowest_leave = std::max(slowest_leave, *leave);
     const auto key = Withdraw(*f);
--- a/measure/fleet_measure/convergence.cc
+++ b/measure/fleet_measure/convergence.cc
@@ -48,8 +48,7 @@
 double SecondsOrBound(const std::optional<steady::time_point>& seen,
                       steady::time_point begin) {
   if (!seen) return std::chrono::duration<double>(kConvergenceBound).count();
-  return std::max(0.0,
-                  std::chrono::duration<double>(*seen - begin).count());
+  return std::max(0.0, std::chrono::duration<double>(*seen - begin).count());
 }
 
 void AddRegressions(const context& c, const testing::version_watch& watch,
@@ -98,7 +97,8 @@
     if (!published) return published;
     times.push_back(SecondsOrBound(
         watch.WaitForAll(f->Documents().version, kConvergenceBound), begin));
-    if (times.back() >= std::chrono::duration<double>(kConvergenceBound).count())
+    if (times.back() >=
+        std::chrono::duration<double>(kConvergenceBound).count())
       break;
   }
   const std::string size =
@@ -122,12 +122,10 @@
   const auto back = steady::now();
   if (!published) return published;
   if (!problem.empty()) return testing::FleetError(problem);
-  const auto seen =
-      watch.WaitForAll(f->Documents().version, kConvergenceBound);
-  const std::string size = std::to_string(daemons) +
-                           " processes, source down " +
-                           std::to_string(outage.count()) +
-                           " s, counted from its return";
+  const auto seen = watch.WaitForAll(f->Documents().version, kConvergenceBound);
+  const std::string size =
+      std::to_string(daemons) + " processes, source down " +
+      std::to_string(outage.count()) + " s, counted from its return";
   c.rows->Add("convergence_p99_s", SecondsOrBound(seen, back), size, c.seed);
   AddRegressions(c, watch, size);
   return {};
@@ -140,8 +138,7 @@
   const running_fleet& f = *started;
   testing::version_watch watch(f->AdminPorts(), WatchInterval(f));
   std::vector<std::size_t> paused;
-  for (std::size_t i = 0; i < f->Daemons().size();
-       i += kPausedShare) {
+  for (std::size_t i = 0; i < f->Daemons().size(); i += kPausedShare) {
     paused.push_back(i);
     f->Daemons()[i].process.Signal(SIGSTOP);
   }
@@ -152,8 +149,7 @@
     const auto published = PublishEdit(f, i);
     if (!published) return published;
     times.push_back(SecondsOrBound(
-        watch.WaitForOthers(f->Documents().version, paused,
-                            kConvergenceBound),
+        watch.WaitForOthers(f->Documents().version, paused, kConvergenceBound),
         begin));
     std::this_thread::sleep_for(200ms);
   }
@@ -161,8 +157,7 @@
     f->Daemons()[i].process.Signal(SIGCONT);
   }
   const auto woken = steady::now();
-  const auto seen =
-      watch.WaitForAll(f->Documents().version, kConvergenceBound);
+  const auto seen = watch.WaitForAll(f->Documents().version, kConvergenceBound);
   const std::string size = std::to_string(daemons) + " processes, " +
                            std::to_string(paused.size()) + " paused 10 s";
   c.rows->Add("convergence_p99_s", Percentile(times, kP99),
--- a/measure/fleet_measure/faults.cc
+++ b/measure/fleet_measure/faults.cc
@@ -84,11 +84,11 @@
   const auto posts =
       testing::ReadPosts(testing::UpstreamPorts(f.processes.get()));
   if (!posts) return tl::make_unexpected(posts.error());
-  const std::string size =
-      "12 daemons, " + std::to_string(tally.calls) + " calls (" +
-      std::to_string(tally.answered) + " answered, " +
-      std::to_string(tally.refused) + " refused), " + std::to_string(rounds) +
-      " x one killed, one paused 3 s";
+  const std::string size = "12 daemons, " + std::to_string(tally.calls) +
+                           " calls (" + std::to_string(tally.answered) +
+                           " answered, " + std::to_string(tally.refused) +
+                           " refused), " + std::to_string(rounds) +
+                           " x one killed, one paused 3 s";
   const auto add = [&](const char* name, std::uint64_t value) {
     c.rows->Add(name, static_cast<double>(value), size, c.seed);
   };
@@ -130,8 +130,8 @@
   }
   c.rows->Add("cut_by_planned_stop", static_cast<double>(cut),
               "12 daemons, " + std::to_string(vms.size()) + " stops, " +
-                  std::to_string(calls) + " calls, " +
-                  std::to_string(unclean) + " exits late or not 0",
+                  std::to_string(calls) + " calls, " + std::to_string(unclean) +
+                  " exits late or not 0",
               c.seed);
   return {};
 }
--- a/measure/fleet_measure/fleet_sizes.cc
+++ b/measure/fleet_measure/fleet_sizes.cc
@@ -108,10 +108,10 @@
       "control_cpu_percent",
       kPercent * GreatestDifference(before->cpu_s, after->cpu_s) / seconds,
       size.str() + ", busiest daemon", c.seed);
-  c.rows->Add("source_reads_per_s",
-              (after->source_reads - before->source_reads) / seconds +
-                  after->waiting,
-              size.str() + ", steady", c.seed);
+  c.rows->Add(
+      "source_reads_per_s",
+      (after->source_reads - before->source_reads) / seconds + after->waiting,
+      size.str() + ", steady", c.seed);
   return {};
 }
 
--- a/measure/fleet_measure/latency.cc
+++ b/measure/fleet_measure/latency.cc
@@ -84,8 +84,7 @@
     context_.rows->Add("proxy_cpu_ratio",
                        ingress.PerCall() / baseline.PerCall(),
                        "ingress, " + size.str(), context_.seed);
-    context_.rows->Add("proxy_cpu_ratio",
-                       egress.PerCall() / baseline.PerCall(),
+    context_.rows->Add("proxy_cpu_ratio", egress.PerCall() / baseline.PerCall(),
                        "egress, " + size.str(), context_.seed);
     return {};
   }
@@ -159,7 +158,7 @@
 
 result MeasureLatency(const context& c) {
   testing::fleet_options options;
-  options.upstream_arguments = {"--service-ms", "0", "--slots", "1000",
+  options.upstream_arguments = {"--service-ms", "0",   "--slots", "1000",
                                 "--cold-slots", "1000"};
   auto f = StartFleet(c, TwoVms(), options);
   if (!f) return tl::make_unexpected(f.error());
--- a/measure/fleet_measure/main.cc
+++ b/measure/fleet_measure/main.cc
@@ -39,14 +39,13 @@
                       "0.1.0");
   TCLAP::ValueArg<std::string> programs("", "programs", "the build folder",
                                         false, "build", "folder", line);
-  TCLAP::ValueArg<std::string> config("", "config",
-                                      "configuration of today's deployment",
-                                      false, "examples/tsurumaki", "folder",
-                                      line);
+  TCLAP::ValueArg<std::string> config(
+      "", "config", "configuration of today's deployment", false,
+      "examples/tsurumaki", "folder", line);
   TCLAP::ValueArg<std::string> out("", "out", "file to append rows to", false,
                                    "", "file", line);
-  TCLAP::MultiArg<std::string> only("", "only", "name of a suite to run",
-                                    false, "suite", line);
+  TCLAP::MultiArg<std::string> only("", "only", "name of a suite to run", false,
+                                    "suite", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the arrival times",
                                       false, 1, "number", line);
   TCLAP::SwitchArg quick("", "quick", "small sizes and short runs", line);
--- a/measure/rows/rows.cc
+++ b/measure/rows/rows.cc
@@ -114,12 +114,14 @@
       std::cout << "-";
     }
     std::cout << "  " << std::left << std::setw(9) << r.unit << std::setw(8)
-              << (!r.bound ? "-" : r.Passes() ? "pass" : "FAIL") << r.size
-              << "\n";
+              << (!r.bound     ? "-"
+                  : r.Passes() ? "pass"
+                               : "FAIL")
+              << r.size << "\n";
   }
   for (const missing_row& r : missing_) {
-    std::cout << std::left << std::setw(23) << r.name << "NOT MEASURED: "
-              << r.why << "\n";
+    std::cout << std::left << std::setw(23) << r.name
+              << "NOT MEASURED: " << r.why << "\n";
   }
 }
 
--- a/testing/fleet/fleet.cc
+++ b/testing/fleet/fleet.cc
@@ -36,7 +36,8 @@
 fleet_result<std::unique_ptr<fleet>> fleet::Create(fleet_options options,
                                                    configuration documents) {
   const std::size_t vms = documents.vms["vms"].size();
-  std::size_t count = kSourcePorts + kPortsOfVm * std::min(vms, options.daemons);
+  std::size_t count =
+      kSourcePorts + kPortsOfVm * std::min(vms, options.daemons);
   if (options.upstreams) count += CountUpstreams(documents);
   const auto first = FindFreePorts(static_cast<int>(count));
   if (!first) return tl::make_unexpected(first.error());
@@ -184,17 +185,16 @@
 }
 
 fleet_result<void> fleet::WriteSettings(const fleet_daemon& daemon) const {
-  const json settings = {
-      {"vm", daemon.vm},
-      {"zone", daemon.zone},
-      {"http", Endpoint(daemon.http_port)},
-      {"link", Endpoint(daemon.link_port)},
-      {"admin", Endpoint(daemon.admin_port)},
-      {"source",
-       {{"addresses", json::array({Endpoint(source_port_)})},
-        {"prefix", kSourcePrefix}}},
-      {"bootstrap_peers", BootstrapPeers(daemon)},
-      {"log", {{"level", options_.log_level}}}};
+  const json settings = {{"vm", daemon.vm},
+                         {"zone", daemon.zone},
+                         {"http", Endpoint(daemon.http_port)},
+                         {"link", Endpoint(daemon.link_port)},
+                         {"admin", Endpoint(daemon.admin_port)},
+                         {"source",
+                          {{"addresses", json::array({Endpoint(source_port_)})},
+                           {"prefix", kSourcePrefix}}},
+                         {"bootstrap_peers", BootstrapPeers(daemon)},
+                         {"log", {{"level", options_.log_level}}}};
   const auto written = cli::WriteFile(daemon.settings_file, settings.dump(2));
   if (!written) return FleetError(written.error().ToString());
   return {};
--- a/testing/fleet/http_client.cc
+++ b/testing/fleet/http_client.cc
@@ -55,9 +55,8 @@
   impl(int port, std::chrono::milliseconds timeout)
       : port_(port),
         base_(event_base_new()),
-        connection_(
-            evhttp_connection_base_new(base_, nullptr, "127.0.0.1",
-                                       static_cast<std::uint16_t>(port))) {
+        connection_(evhttp_connection_base_new(
+            base_, nullptr, "127.0.0.1", static_cast<std::uint16_t>(port))) {
     constexpr int kMsPerSecond = 1000;
     timeval time{};
     time.tv_sec = timeout.count() / kMsPerSecond;
--- a/testing/fleet/target_config.cc
+++ b/testing/fleet/target_config.cc
@@ -35,8 +35,8 @@
   return {{"zones", std::move(zones)}};
 }
 
-json Route(const std::string& name, const std::string& path,
-           const char* method, bool idempotent) {
+json Route(const std::string& name, const std::string& path, const char* method,
+           bool idempotent) {
   return {{"name", name},
           {"path_prefix", path},
           {"methods", json::array({method})},
@@ -57,10 +57,10 @@
                          {"max_connections", kMaxConnections}});
   }
   return {{"name", name},
-          {"routes", json::array({Route(Numbered("read-", number), "/" + name,
-                                        "GET", true),
-                                  Route(Numbered("post-", number), "/" + name,
-                                        "POST", false)})},
+          {"routes",
+           json::array(
+               {Route(Numbered("read-", number), "/" + name, "GET", true),
+                Route(Numbered("post-", number), "/" + name, "POST", false)})},
           {"upstreams", std::move(upstreams)}};
 }
 
--- a/testing/fleet/version_watch.cc
+++ b/testing/fleet/version_watch.cc
@@ -29,8 +29,8 @@
   std::size_t at = 0;
   while (at < text.size()) {
     const std::size_t end = std::min(text.find('\n', at), text.size());
-    if (text.compare(at, name.size(), name) == 0 &&
-        at + name.size() < end && text[at + name.size()] == ' ') {
+    if (text.compare(at, name.size(), name) == 0 && at + name.size() < end &&
+        text[at + name.size()] == ' ') {
       return std::strtod(text.c_str() + at + name.size(), nullptr);
     }
     at = end + 1;
@@ -109,9 +109,9 @@
     probe(impl* owning, std::size_t place, int port)
         : owner(owning),
           index(place),
-          connection(evhttp_connection_base_new(
-              owning->base_, nullptr, "127.0.0.1",
-              static_cast<std::uint16_t>(port))) {
+          connection(
+              evhttp_connection_base_new(owning->base_, nullptr, "127.0.0.1",
+                                         static_cast<std::uint16_t>(port))) {
       evhttp_connection_set_timeout(connection, kTimeoutSeconds);
     }
     ~probe() { evhttp_connection_free(connection); }
--- a/testing/sim/world.cc
+++ b/testing/sim/world.cc
@@ -289,6 +289,8 @@
     std::visit([&](const auto& body) { Do(n, body); }, action);
   }
   if (n->engine == nullptr) return;
+  const bool due_again = n->engine->NextWake() <= queue_.Now();
+  if (std::holds_alternative<core::tick>(event) && due_again) ++busy_wakes_;
   CheckVersion(*n);
   ArmTimer(n);
 }
@@ -303,7 +305,6 @@
 }
 
 void world::ArmTimer(node* n) {
-  if (n->engine->NextWake() <= queue_.Now()) ++busy_wakes_;
   const core::instant wake =
       std::max(n->engine->NextWake(), queue_.Now() + core::duration(1));
   if (n->wake > queue_.Now() && n->wake <= wake) return;
--- a/testing/smoke/main.cc
+++ b/testing/smoke/main.cc
@@ -140,8 +140,7 @@
       const auto written = cli::WriteFile(folder + "/" + name + ".json", bytes);
       Check(written.has_value(), "wrote " + name);
     }
-    const auto vms =
-        cli::WriteFile(folder + "/vms.json", documents.vms.dump());
+    const auto vms = cli::WriteFile(folder + "/vms.json", documents.vms.dump());
     Check(vms.has_value(), "wrote vms");
   }
 
@@ -159,8 +158,7 @@
     Check(faulty.code == kRefused &&
               faulty.output.find("nowhere") != std::string::npos,
           "check names an unknown route");
-    Check(RunVerb({"check", folder_ + "/" + kFolderOfNoUse}).code ==
-              kFileError,
+    Check(RunVerb({"check", folder_ + "/" + kFolderOfNoUse}).code == kFileError,
           "check reports a missing folder");
     Check(RunVerb({"diff", before, before}).code == kOk,
           "diff finds no difference");
@@ -259,9 +257,9 @@
 
   void CheckDaemonVerbs() {
     const verb_result status = RunVerb(AdminArguments("status"));
-    Check(status.code == kOk &&
-              status.output.find("vm-b2") != std::string::npos,
-          "status lists the daemons");
+    Check(
+        status.code == kOk && status.output.find("vm-b2") != std::string::npos,
+        "status lists the daemons");
     const fleet_daemon& first = fleet_->Daemons().front();
     const verb_result dump = RunVerb({"dump", "--admin", AdminOf(first)});
     const auto state = nlohmann::json::parse(dump.output, nullptr, false);
@@ -275,9 +273,8 @@
     Check(explain.code == kRefused &&
               explain.output.find("no_key") != std::string::npos,
           "explain tells why a call without a key is refused");
-    const verb_result offline = RunVerb({"explain", "--config",
-                                         folder_ + "/before", "--path",
-                                         "/nowhere"});
+    const verb_result offline = RunVerb(
+        {"explain", "--config", folder_ + "/before", "--path", "/nowhere"});
     Check(offline.code == kRefused &&
               offline.output.find("no_route") != std::string::npos,
           "explain works on a folder");
