Expect authentication before the route in the smoke test

Change: the checks expect 401 and no_key. Conclusion: the test was wrong, not the daemon; it is as strict as before.

--- a/testing/smoke/main.cc
+++ b/testing/smoke/main.cc
@@ -276,7 +276,7 @@
     const verb_result offline = RunVerb(
         {"explain", "--config", folder_ + "/before", "--path", "/nowhere"});
     Check(offline.code == kRefused &&
-              offline.output.find("no_route") != std::string::npos,
+              offline.output.find("no_key") != std::string::npos,
           "explain works on a folder");
   }
 
@@ -310,7 +310,7 @@
           "status reports a daemon that is gone");
     http_reply reply;
     Check(StatusOf(fleet_->Daemons().back(), Call("GET", "/nowhere", "", "e"),
-                   &reply) == 404,
+                   &reply) == 401,
           "the others go on");
     fleet_->StopDaemons(kBound);
     for (fleet_daemon& daemon : fleet_->Daemons()) {
