--- a/testing/scenario_runner/main.cc
+++ b/testing/scenario_runner/main.cc
@@ -1,4 +1,5 @@
-// Runs scenario files: scenario_runner [--update-golden] [--measures] FILE...
+// Runs scenario files: scenario_runner [--update-golden] [--measures]
+// [--session] FILE...
 //
 // Exit codes: 0 every expectation holds, 1 one does not, 2 a file is faulty.
 // With a golden file of the same name the recorded session must equal it.
@@ -6,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 #include <string>
 
@@ -51,8 +53,14 @@
   return false;
 }
 
+struct run_options {
+  bool update_golden = false;
+  bool print_measures = false;
+  bool print_session = false;
+};
+
 int RunFile(const fs::path& path, const scenario::deployments& deployments,
-            bool update_golden, bool print_measures) {
+            const run_options& options) {
   const auto run = scenario::Run(ReadFile(path), deployments);
   if (!run) {
     std::cout << path.string() << ":" << run.error().line << ": "
@@ -63,30 +71,33 @@
     std::cout << (e.holds ? "ok   " : "FAIL ") << path.filename().string()
               << ":" << e.line << ": " << e.text << " (is " << e.value << ")\n";
   }
-  if (print_measures) {
+  if (options.print_session) std::cout << run->Session();
+  if (options.print_measures) {
     for (const auto& [name, value] : run->Measures()) {
       std::cout << name << " " << value << "\n";
     }
   }
   const fs::path golden = path.parent_path().parent_path() / "golden" /
                           (path.stem().string() + ".txt");
-  const bool same = MatchesGolden(golden, run->Session(), update_golden);
+  const bool same =
+      MatchesGolden(golden, run->Session(), options.update_golden);
   return run->Holds() && same ? 0 : kFailed;
 }
 
 int Main(int argc, char** argv) {
-  bool update_golden = false;
-  bool print_measures = false;
+  run_options options;
+  const std::map<std::string, bool*> flags = {
+      {"--update-golden", &options.update_golden},
+      {"--measures", &options.print_measures},
+      {"--session", &options.print_session},
+  };
   int worst = 0;
   scenario::deployments deployments;
   for (int i = 1; i < argc; ++i) {
     const std::string argument = argv[i];
-    if (argument == "--update-golden") {
-      update_golden = true;
-      continue;
-    }
-    if (argument == "--measures") {
-      print_measures = true;
+    const auto flag = flags.find(argument);
+    if (flag != flags.end()) {
+      *flag->second = true;
       continue;
     }
     const fs::path path = fs::absolute(argument);
@@ -99,8 +110,7 @@
             ReadDeployment(entry.path());
       }
     }
-    worst = std::max(worst,
-                     RunFile(path, deployments, update_golden, print_measures));
+    worst = std::max(worst, RunFile(path, deployments, options));
   }
   return worst;
 }
--- a/testing/sim/scenario.cc
+++ b/testing/sim/scenario.cc
@@ -125,6 +125,7 @@
         {"reports", &scenario_run::Reports},
         {"load", &scenario_run::Load},
         {"call", &scenario_run::Call},
+        {"dump", &scenario_run::Dump},
     };
     const auto found = kCommands.find(statement[0]);
     if (found == kCommands.end()) {
@@ -407,6 +408,13 @@
     return true;
   }
 
+  // dump VM: the daemon's state goes into the session.
+  bool Dump(const words& args) {
+    if (args.size() != 2 || !Known(args[1])) return Fail("dump VM");
+    result_.session_ += world_->Dump(args[1]) + "\n";
+    return true;
+  }
+
   // expect MEASURE OP VALUE, or expect invariants
   bool Expect(const words& args) {
     if (args.size() == 2 && args[1] == "invariants") return ExpectInvariants();
