End the start check at once and ask fewer permits ahead

Change: the last confirmation ends the start check itself; permits asked ahead of need are at most four even shares.

Conclusion: contracts with fewer permits than VMs still see refusals.

--- a/src/core/contract_allocator.cc
+++ b/src/core/contract_allocator.cc
@@ -38,7 +38,7 @@
           << kRequestCounterBits),
       last_id_(id_prefix_),
       last_run_(start),
-      next_wake_(start) {}
+      next_wake_(start + kTick) {}
 
 contract_allocator::organisation_state* contract_allocator::Find(
     const std::string& organisation) {
@@ -91,7 +91,7 @@
     permits_from_ = instant::max();
   }
   RefreshShares(now);
-  next_wake_ = now;
+  next_wake_ = std::min(next_wake_, now + std::chrono::milliseconds(1));
 }
 
 void contract_allocator::NoteRunning(instant now) {
--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -245,6 +245,10 @@
 
   // Start check.
   std::uint64_t ListHash() const;
+  bool IsStarting(instant now) const;
+  std::set<std::string> MissingConfirmations() const;
+  // Takes the own share into use once all VMs have confirmed.
+  void EndStartCheck(instant now);
   void SendStartChecks(instant now, actions* out);
   void OnStartCheck(const std::string& vm, const grant_request& request,
                     instant now, actions* out);
--- a/src/core/contract_allocator_borrow.cc
+++ b/src/core/contract_allocator_borrow.cc
@@ -13,6 +13,8 @@
 // Headroom over the measured demand, for calls that come in bursts.
 constexpr double kUrgentHeadroom = 1.5;
 constexpr double kPrefetchHeadroom = 1.15;
+// Greatest number of permits asked for ahead of need, in even shares.
+constexpr std::int64_t kUrgentShares = 4;
 // A bucket is low below this part of its cap; the newest demand counts then.
 constexpr double kLowPart = 0.25;
 
@@ -125,11 +127,15 @@
       {state->peak_in_use, state->previous_peak, state->account.InUse()});
   std::int64_t wanted = peak + peak / 4 + state->waiting_permits;
   if (urgent) {
-    // At worst, the calls to come all run at once.
-    wanted = std::max(
-        wanted, state->account.InUse() +
-                    static_cast<std::int64_t>(kUrgentHeadroom *
-                                              state->demand.PerSecond(now)));
+    // At worst the calls to come all run at once; but a few calls must not take
+    // most permits of a small contract from the other VMs.
+    const auto expected = static_cast<std::int64_t>(
+        kUrgentHeadroom * state->demand.PerSecond(now));
+    const auto vms = static_cast<std::int64_t>(shares_.Divisor());
+    const std::int64_t greatest = kUrgentShares * state->limits.max_concurrent /
+                                  std::max<std::int64_t>(1, vms);
+    wanted =
+        std::max(wanted, state->account.InUse() + std::min(expected, greatest));
   }
   return std::max<std::int64_t>(0,
                                 std::min(wanted, state->limits.max_concurrent) -
@@ -226,7 +232,7 @@
   pending_.erase(found);
   if (request.organisations.empty()) {
     confirmed_by_.insert(vm);
-    next_wake_ = now;
+    EndStartCheck(now);
     return;
   }
   for (const grant& loan : reply.grants) {
--- a/src/core/contract_allocator_lend.cc
+++ b/src/core/contract_allocator_lend.cc
@@ -229,27 +229,38 @@
   return XXH64(names.data(), names.size(), 0) >> 1;  // Fits a signed integer.
 }
 
-void contract_allocator::SendStartChecks(instant now, actions* out) {
-  if (!start_check_ || !shares_.IsListed() || now >= permits_from_) {
-    return;
-  }
+std::set<std::string> contract_allocator::MissingConfirmations() const {
   std::set<std::string> missing = shares_.Listed();
   missing.erase(directory_.self);
   for (const std::string& vm : confirmed_by_) {
     missing.erase(vm);
   }
-  if (missing.empty()) {
-    share_from_ = std::min(share_from_, now);
-    permits_from_ = now;
-    RefreshShares(now);
+  return missing;
+}
+
+bool contract_allocator::IsStarting(instant now) const {
+  return start_check_ && shares_.IsListed() && now < permits_from_;
+}
+
+void contract_allocator::EndStartCheck(instant now) {
+  if (!IsStarting(now) || !MissingConfirmations().empty()) {
+    return;
+  }
+  share_from_ = std::min(share_from_, now);
+  permits_from_ = now;
+  RefreshShares(now);
+}
+
+void contract_allocator::SendStartChecks(instant now, actions* out) {
+  EndStartCheck(now);
+  if (!IsStarting(now)) {
     return;
   }
   if (start_checked_at_ > now - kStartCheckInterval) {
     return;
   }
   start_checked_at_ = now;
-  batch items;
-  for (const std::string& vm : missing) {
+  for (const std::string& vm : MissingConfirmations()) {
     grant_request check;
     check.id = ++last_id_;
     check.mode = grant_mode::kShare;
--- a/testing/unit/contract_account_test.cc
+++ b/testing/unit/contract_account_test.cc
@@ -125,14 +125,14 @@
   const struct {
     const char* name;
     const char* from;
-    int delay_ms;
     std::uint64_t id_change;
+    int delay_ms;
     bool is_taken;
   } cases[] = {
-      {"good", "home", 5, 0, true},
-      {"from another VM", "other", 5, 0, false},
-      {"at the end of the term less 5%", "home", 950, 0, false},
-      {"of another process", "home", 5, 1ULL << 40, false},
+      {"good", "home", 0, 5, true},
+      {"from another VM", "other", 0, 5, false},
+      {"at the end of the term less 5%", "home", 0, 950, false},
+      {"of another process", "home", 1ULL << 40, 5, false},
   };
   for (const auto& test : cases) {
     CAPTURE(test.name);
@@ -153,6 +153,20 @@
   }
 }
 
+// Guards against a late reply whose tokens fill the own share's cap.
+TEST_CASE("tokens of a late reply do not go into the own share") {
+  hand_driven borrower;
+  borrower.RunTo(kStart + contract_allocator::kPermitStartWait + seconds(1));
+  while (borrower.Acquire() == acquire_result::kAcquired) {
+    borrower.allocator.Release("yamaga", false, borrower.now);
+  }
+  grant_reply reply = TenTokens(borrower.Last<grant_request>().id);
+  reply.grants[0].term = milliseconds(10);
+  borrower.now += milliseconds(10);
+  borrower.Receive("home", reply);
+  CHECK(borrower.allocator.View(borrower.now)[0].tokens < 2);
+}
+
 // Guards against a restarted process that recognises the identifiers of the one
 // before it.
 TEST_CASE("request identifiers derive from the incarnation") {
