Count a lent share as gone in what a VM asks for

Cause: a VM whose share the home had asked for nothing, as it counted its share as still its own.

Change: requests count only what is left of the own share.

--- a/src/core/contract_account.cc
+++ b/src/core/contract_account.cc
@@ -72,6 +72,15 @@
   return in_use_ == 0 && taken_.IsEmpty() && given_.IsEmpty();
 }
 
+loan_amount contract_account::OwnLeft(instant now) const {
+  const loan_amount lent = given_.Total(grant_mode::kShare, now);
+  loan_amount left;
+  left.rate_per_s = std::max(0.0, share_.rate_per_s - lent.rate_per_s);
+  left.cap = std::max(0.0, share_.cap - lent.cap);
+  left.permits = std::max<std::int64_t>(0, share_.permits - lent.held_permits);
+  return left;
+}
+
 loan_amount contract_account::Pool(instant until) const {
   loan_amount pool = taken_.Total(until);
   pool.rate_per_s += share_.rate_per_s;
--- a/src/core/contract_account.h
+++ b/src/core/contract_account.h
@@ -64,6 +64,8 @@
   bool IsIdle() const;  // No call, no loan.
   const loan_amount& Taken() const { return taken_now_; }
 
+  // Own share less what the home has of it.
+  loan_amount OwnLeft(instant now) const;
   // Own share plus loans taken, of those that last beyond `until`.
   loan_amount Pool(instant until) const;
 
--- a/src/core/contract_allocator_borrow.cc
+++ b/src/core/contract_allocator_borrow.cc
@@ -117,7 +117,7 @@
       (low ? kUrgentHeadroom * state->demand.PerSecond(now)
            : kPrefetchHeadroom * state->demand.Average(now)) +
       static_cast<double>(state->waiting_tokens) / TermSeconds();
-  const double wanted = target - state->account.Share().rate_per_s;
+  const double wanted = target - state->account.OwnLeft(now).rate_per_s;
   return urgent ? std::max(wanted, 1 / TermSeconds()) : std::max(wanted, 0.0);
 }
 
@@ -139,7 +139,7 @@
   }
   return std::max<std::int64_t>(0,
                                 std::min(wanted, state->limits.max_concurrent) -
-                                    state->account.Share().permits);
+                                    state->account.OwnLeft(now).permits);
 }
 
 std::int64_t contract_allocator::PooledPermitsWanted(organisation_state* state,
--- a/src/core/loan_ledger.cc
+++ b/src/core/loan_ledger.cc
@@ -66,14 +66,27 @@
   return maximum;
 }
 
+void loan_ledger::Add(const loan_amount& amount, loan_amount* total) {
+  total->rate_per_s += amount.rate_per_s;
+  total->cap += amount.cap;
+  total->permits += amount.permits;
+  total->held_permits += amount.held_permits;
+}
+
 loan_amount loan_ledger::Total(instant now) const {
   loan_amount total;
   for (const auto& [party, loans] : loans_) {
-    const loan_amount maximum = Maximum(loans, now);
-    total.rate_per_s += maximum.rate_per_s;
-    total.cap += maximum.cap;
-    total.permits += maximum.permits;
-    total.held_permits += maximum.held_permits;
+    Add(Maximum(loans, now), &total);
+  }
+  return total;
+}
+
+loan_amount loan_ledger::Total(grant_mode mode, instant now) const {
+  loan_amount total;
+  for (const auto& [party, loans] : loans_) {
+    if (party.mode == mode) {
+      Add(Maximum(loans, now), &total);
+    }
   }
   return total;
 }
--- a/src/core/loan_ledger.h
+++ b/src/core/loan_ledger.h
@@ -55,6 +55,7 @@
 
   // Sums over all parties, of loans that last beyond `now`.
   loan_amount Total(instant now) const;
+  loan_amount Total(grant_mode mode, instant now) const;
   loan_amount Of(const loan_party& party, instant now) const;
   bool IsEmpty() const { return loans_.empty(); }
 
@@ -67,6 +68,7 @@
     instant until;
     instant held_until;
   };
+  static void Add(const loan_amount& amount, loan_amount* total);
   static loan_amount Maximum(const std::vector<loan>& loans, instant now);
 
   duration permit_hold_;
