Lend from the pool for 600 ms and return idle loans after 100 ms

Cause: VMs with few calls held most of a small burst for a second each.

Change: term of the home's loans 1 s to 600 ms, renewal 400 to 250 ms; a VM is idle after at most 100 ms.

--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -67,8 +67,8 @@
   static constexpr duration kShareTerm = std::chrono::milliseconds(2500);
   static constexpr duration kShareRenewal = std::chrono::milliseconds(1000);
   // Term of the home's loan to a busy VM, and time between its renewals.
-  static constexpr duration kTokenTerm = std::chrono::milliseconds(1000);
-  static constexpr duration kTokenRenewal = std::chrono::milliseconds(400);
+  static constexpr duration kTokenTerm = std::chrono::milliseconds(600);
+  static constexpr duration kTokenRenewal = std::chrono::milliseconds(250);
   // A VM list reaches every live VM within this time.
   static constexpr duration kListLag = std::chrono::seconds(5);
   // A newly started or newly listed VM uses and lends no share before all
--- a/src/core/contract_allocator_borrow.cc
+++ b/src/core/contract_allocator_borrow.cc
@@ -21,7 +21,7 @@
 // Pause after which a VM returns its loans, in usual gaps between calls.
 constexpr double kIdleGaps = 4;
 constexpr duration kLeastIdle = std::chrono::milliseconds(50);
-constexpr duration kGreatestIdle = std::chrono::milliseconds(300);
+constexpr duration kGreatestIdle = std::chrono::milliseconds(100);
 
 // After an answer that brought nothing, calls are refused without asking again.
 constexpr duration kDeniedPause = std::chrono::milliseconds(50);
