Keep part of the burst in the pool for moving entry

Cause: steady borrowers held cap in proportion to their rate, so nothing was left where calls began to enter.

Change: the cap of a loan grows with the 1.5th power of the part of the pool.

--- a/src/core/contract_allocator_lend.cc
+++ b/src/core/contract_allocator_lend.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/contract_allocator.h"
 
@@ -196,7 +197,9 @@
   loan_amount offer;
   if (item.tokens > 0) {
     offer.rate_per_s = pool.rate_per_s * part;
-    offer.cap = std::max(pool.cap * part, kLeastLoanCap);
+    // Less cap than rate: the rest of the burst stays at hand for VMs where
+    // calls start to enter.
+    offer.cap = std::max(pool.cap * std::pow(part, 1.5), kLeastLoanCap);
   }
   offer.permits = item.permits;
   return state->account.Lend(borrower, offer, kept, kTokenTerm, now);
