--- a/testing/unit/config_examples_test.cc
+++ b/testing/unit/config_examples_test.cc
@@ -14,7 +14,7 @@
 };
 constexpr example kExamples[] = {
     {"tsurumaki", 3, 12, "yamaga", "/counter/hours/today"},
-    {"berberecho", 4, 16, "arousa", "/litoral/map"},
+    {"berberecho", 4, 16, "ancud", "/litoral/map"},
 };
 
 // Guards against examples that the daemon refuses or that have lost a part.
