--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -14,6 +14,7 @@
 if [ -x "$folder/core_bench" ]; then
   "$folder/core_bench" --out "$rows" "${quick[@]}" || status=1
 fi
+"$folder/fault_matrix" --examples examples --out "$rows" || status=1
 "$folder/fleet_measure" --programs "$folder" --config examples/tsurumaki \
   --out "$rows" "${quick[@]}" || status=1
 exit "$status"
--- a/testing/scenario_runner/main.cc
+++ b/testing/scenario_runner/main.cc
@@ -11,6 +11,7 @@
 #include <sstream>
 #include <string>
 
+#include "sim/deployment_files.h"
 #include "sim/scenario.h"
 
 namespace pimentohall::sim {
@@ -28,20 +29,6 @@
   return bytes.str();
 }
 
-deployment_files ReadDeployment(const fs::path& folder) {
-  deployment_files files;
-  files.vms = ReadFile(folder / "vms.json");
-  files.parts["zones"] = ReadFile(folder / "zones.json");
-  for (const char* kind : {"services", "organisations"}) {
-    for (const auto& entry : fs::directory_iterator(folder / kind)) {
-      const std::string name =
-          std::string(kind) + "/" + entry.path().stem().string();
-      files.parts[name] = ReadFile(entry.path());
-    }
-  }
-  return files;
-}
-
 // True if the session equals the golden file, or there is none.
 bool MatchesGolden(const fs::path& golden, const std::string& session,
                    bool update) {
@@ -102,13 +89,8 @@
     }
     const fs::path path = fs::absolute(argument);
     if (deployments.empty()) {
-      const fs::path examples =
-          path.parent_path().parent_path().parent_path() / "examples";
-      for (const auto& entry : fs::directory_iterator(examples)) {
-        if (!entry.is_directory()) continue;
-        deployments[entry.path().filename().string()] =
-            ReadDeployment(entry.path());
-      }
+      deployments = ReadDeployments(
+          path.parent_path().parent_path().parent_path() / "examples");
     }
     worst = std::max(worst, RunFile(path, deployments, options));
   }
