--- a/testing/unit/router_test.cc
+++ b/testing/unit/router_test.cc
@@ -351,6 +351,16 @@
   const upstream_load full{10, 64, 10};
   other.Run("s0-u1", kNotRun, reason::kQueueFull, 0, &full);
   CHECK(other.Picked().count("s0-u1") == 0);
+  bench fading(fleet{}, "elsewhere");
+  const upstream_load busy{6, 0, 10};
+  fading.Run("s0-u1", kAnswered, reason::kNone, 200, &busy);
+  for (const char* name : {"s0-u0", "s0-u2"}) {
+    fading.Run(name, kAnswered, reason::kNone, 200, &idle);
+    for (int i = 0; i < 4; ++i) fading.router_.OnStart(name);
+  }
+  CHECK(fading.Picked().count("s0-u1") == 0);
+  fading.now += router::kLoadFades / 2;
+  CHECK(fading.Picked().count("s0-u1") == 1);
   for (duration later : {router::kLoadFades, duration(seconds(30))}) {
     other.now += later;
     CHECK(other.Picked().size() == 3);
