--- a/src/core/fair_queue.h
+++ b/src/core/fair_queue.h
@@ -35,8 +35,8 @@
   static constexpr std::size_t kCapacity = 64;
   static constexpr int kOvernightShare = 16;
   // Calls that any organisation may have waiting before its weight counts. A
-  // tenth of the queue alone would lose 1 call in 20 of an organisation that
-  // sends 90% of its share at random times.
+  // tenth of the queue alone would lose up to 1 call in 20 of an organisation
+  // that sends 90% of its share at random times.
   static constexpr std::size_t kBurst = 8;
 
   struct entry {
