Ask the source to wait in whole seconds

Cause: the design says wait=30s; the client sent wait=30000ms.

Change: the wait is sent in seconds, rounded up.

Before/after: the request line of a watch was "...&wait=30000ms" and is "...&wait=30s" (source_client_test.cc).

--- a/src/net/source_client.cc
+++ b/src/net/source_client.cc
@@ -62,10 +62,9 @@
     }
     path += "?raw";
     if (action.index != 0) {
-      const auto wait_ms =
-          std::chrono::duration_cast<std::chrono::milliseconds>(action.wait);
+      const auto wait = std::chrono::ceil<std::chrono::seconds>(action.wait);
       path += "&index=" + std::to_string(action.index) +
-              "&wait=" + std::to_string(wait_ms.count()) + "ms";
+              "&wait=" + std::to_string(wait.count()) + "s";
     }
     return path;
   }
--- a/testing/unit/source_client_test.cc
+++ b/testing/unit/source_client_test.cc
@@ -60,7 +60,7 @@
       {ReadOf(core::source_key::kManifest),
        "GET /v1/kv/mesh/prod/manifest?raw HTTP/1.1\r\n"},
       {ReadOf(core::source_key::kVmList, 41),
-       "GET /v1/kv/mesh/prod/vms?raw&index=41&wait=30000ms HTTP/1.1\r\n"},
+       "GET /v1/kv/mesh/prod/vms?raw&index=41&wait=30s HTTP/1.1\r\n"},
       {ReadOf(core::source_key::kPart),
        "GET /v1/kv/mesh/prod/parts/abc?raw HTTP/1.1\r\n"},
   };
