Report a closed control link to the peer only

Cause: after close_link the host also told its own engine link_down, on a later turn. An engine that dials again at once could take that for the failure of the new dial and back off. The simulated host reports to the peer only.

Change: Close gives no event at the closing end, as in the simulation.

Conclusion: host and simulation agree on close_link.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -428,8 +428,9 @@
   // Gives `on_link_up` or `on_link_down`. If the link is up already,
   // `on_link_up` is called and no connection made.
   void Open(const core::open_link& action);
-  // Closes the control connections of the peer; gives `on_link_down` if the
-  // link was up.
+  // Closes the control connections of the peer, dialled and accepted. Only the
+  // peer gets `on_link_down`: the owner, which may dial again at once, could
+  // take it for the end of the new dial.
   void Close(const std::string& vm);
   // Drops the message if the link is down.
   void Send(const std::string& vm, const core::message& message);
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -5,6 +5,12 @@
 // - evhttp stops reading while a request is answered and so doesn't see that
 //   the client has left. This file puts its own callbacks on the bufferevent
 //   for that time. Bytes of a next request wait in the buffer.
+// - After a length over the limit evhttp reads and drops the body before it
+//   answers 413, since a client that still sends would miss the answer. A body
+//   that never comes ends with the idle timeout.
+// - evhttp also takes bare LF line ends and signs or "0x" in chunk sizes, which
+//   can't be seen here. Requests are framed anew when they are forwarded, so
+//   this matters only behind a proxy that reads them otherwise.
 // - A client that shuts down its sending side before the answer counts as gone.
 
 #include <event2/bufferevent_ssl.h>
--- a/src/net/link_service.cc
+++ b/src/net/link_service.cc
@@ -2,8 +2,8 @@
 //
 // Invariants:
 // - `on_link_up` and `on_link_down` alternate for each peer, but for a failed
-//   dial, which gives `on_link_down` alone, and for `Open` of a link that is
-//   up, which gives `on_link_up` again.
+//   dial, which gives `on_link_down` alone, for `Open` of a link that is up,
+//   which gives `on_link_up` again, and for `Close`, which gives nothing.
 // - After simultaneous dials both connections stay. Each end sends on the one
 //   that opened first there; closing one of them doesn't take the link down,
 //   so the two ends can't close each other's choice.
@@ -94,12 +94,10 @@
 
   void Close(const std::string& vm) {
     peer& to = peers_[vm];
-    const bool was_up = !to.control.empty();
     for (link_connection* connection : std::exchange(to.control, {})) {
       Drop(connection);
     }
     if (to.dialling != nullptr) Drop(std::exchange(to.dialling, nullptr));
-    if (was_up) Later([this, vm] { owner_->on_link_down({vm}); });
   }
 
   void Send(const std::string& vm, const core::message& message) {
