--- a/measure/fault_matrix/faults.cc
+++ b/measure/fault_matrix/faults.cc
@@ -39,7 +39,8 @@
        "vm-a1,vm-c2",
        "yamaga",
        "hakata",
-       "org=moji rate=2 path=/ledger/crash"},
+       "org=moji rate=2 path=/ledger/crash",
+       "org=yamaga rate=1880 path=/ledger/balance"},
       {"berberecho",
        {"org=puerto-montt rate=100 path=/litoral/tides",
         "org=ancud rate=80 path=/licencias/7",
@@ -53,7 +54,8 @@
        "vm-a2,vm-c1",
        "puerto-montt",
        "ancud",
-       "org=calbuco rate=2 path=/litoral/crash"},
+       "org=calbuco rate=2 path=/litoral/crash",
+       "org=puerto-montt rate=1150 path=/litoral/tides"},
   };
   return kDeployments;
 }
@@ -112,6 +114,11 @@
          return statements{"load " + d.crash_load + " until=30s"};
        },
        None},
+      {"five_times_rate",
+       [](const deployment& d) {
+         return statements{"load " + d.excess_load + " until=30s"};
+       },
+       None},
       {"misleading_reports",
        [](const deployment&) { return statements{"reports misleading"}; },
        [](const deployment&) { return statements{"reports honest"}; }},
--- a/measure/fault_matrix/faults.h
+++ b/measure/fault_matrix/faults.h
@@ -19,6 +19,7 @@
   std::string limited_organisation;  // Its contract changes.
   std::string withdrawn_organisation;
   std::string crash_load;
+  std::string excess_load;  // Four times an organisation's rate, besides it.
 };
 const std::vector<deployment>& Deployments();
 
--- a/testing/sim/oracle.h
+++ b/testing/sim/oracle.h
@@ -19,6 +19,7 @@
   bool idempotent = false;
   core::instant sent;
   core::instant admitted;  // First forwarded attempt.
+  core::instant deadline;  // As told to the first egress daemon.
   bool was_admitted = false;
   int executions = 0;     // Starts at upstreams.
   bool answered = false;  // The caller got an answer or a refusal.
--- a/testing/sim/scenario.cc
+++ b/testing/sim/scenario.cc
@@ -399,9 +399,9 @@
   // What must hold in every scenario, whatever fails.
   bool ExpectInvariants() {
     static const char* const kZeroMeasures[] = {
-        "lost_calls",      "doubled_calls",   "false_not_run",
-        "crossed_answers", "overshoot_calls", "cut_by_planned_stop",
-        "regressions",     "busy_wakes"};
+        "lost_calls",          "doubled_calls",   "false_not_run",
+        "crossed_answers",     "overshoot_calls", "cut_by_planned_stop",
+        "version_regressions", "busy_wakes"};
     for (const char* measure : kZeroMeasures) {
       if (!Expect({"expect", measure, "==", "0"})) return false;
     }
@@ -461,7 +461,7 @@
     m["worst_organisation_share"] = v.worst_share;
     m["cut_by_planned_stop"] = static_cast<double>(world_->CutByPlannedStop());
     m["busy_wakes"] = static_cast<double>(world_->BusyWakes());
-    m["regressions"] = static_cast<double>(world_->Regressions());
+    m["version_regressions"] = static_cast<double>(world_->Regressions());
     m["lowest_version"] = static_cast<double>(world_->LowestVersion());
     m["version"] = static_cast<double>(world_->PublishedVersion());
     for (const auto& [id, call] : world_->Oracle().Calls()) {
