Log each configuration and VM list that comes into force

Cause: a daemon's log did not tell when a version came into force. Change: the engine logs both with their versions.

--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -165,12 +165,19 @@
       members_.SetVms(vms);
       router_.SetVms(vms);
       allocator_.SetVms(*vms, now);
+      out->push_back(log_entry{log_level::kInfo,
+                               "VM list in force",
+                               {{"version", std::to_string(vms->version)}}});
     }
     if (set != nullptr && set != applied_set_) {
       applied_set_ = set;
       router_.SetConfig(set);
       allocator_.SetConfig(*set, now);
       egress_.SetConfig(set, now, out);
+      out->push_back(log_entry{log_level::kInfo,
+                               "configuration in force",
+                               {{"version", std::to_string(set->Version())},
+                                {"digest", set->Digest()}}});
     }
     distribution_.Tick(now, out);
     out->push_back(config_in_force{set, vms});
