Let watches of the source stand-in wait

Cause: a change took 80 to 380 ms to reach the first of 12 daemons and the source stand-in showed no waiting watch: libevent's query parser refuses the valueless parameter raw, so index and wait were ignored and every watch was answered at once. Ruled out: the relay (the last daemon follows the first by 10 ms) and the publishing (11 puts in 0.13 s). Change: the stand-in parses queries itself; the stand-ins detach from open connections before they go (the source stand-in crashed at its end).

--- a/testing/http_standin/http_server.cc
+++ b/testing/http_standin/http_server.cc
@@ -1,6 +1,8 @@
 #include "http_standin/http_server.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <sstream>
 #include <utility>
 
 namespace pimentohall::testing {
@@ -40,19 +42,21 @@
   return path == nullptr ? "" : path;
 }
 
+// libevent's parser refuses parameters without a value, such as "raw".
 std::map<std::string, std::string> Query(evhttp_request* request) {
   std::map<std::string, std::string> result;
   const char* text =
       evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
-  evkeyvalq parameters;
-  if (text == nullptr || evhttp_parse_query_str(text, &parameters) != 0) {
-    return result;
+  std::istringstream parameters(text == nullptr ? "" : text);
+  std::string parameter;
+  while (std::getline(parameters, parameter, '&')) {
+    const std::size_t equals = parameter.find('=');
+    const std::string value =
+        equals == std::string::npos ? "" : parameter.substr(equals + 1);
+    const std::unique_ptr<char, void (*)(void*)> decoded(
+        evhttp_uridecode(value.c_str(), 1, nullptr), std::free);
+    result[parameter.substr(0, equals)] = decoded.get();
   }
-  for (evkeyval* entry = parameters.tqh_first; entry != nullptr;
-       entry = entry->next.tqe_next) {
-    result[entry->key] = entry->value;
-  }
-  evhttp_clear_headers(&parameters);
   return result;
 }
 
--- a/testing/source_standin/main.cc
+++ b/testing/source_standin/main.cc
@@ -37,6 +37,16 @@
     CountSecond();
   }
 
+  // The server closes its connections after this object is gone.
+  ~source_standin() {
+    for (const watch& w : watches_) {
+      evhttp_connection_set_closecb(evhttp_request_get_connection(w.request),
+                                    nullptr, nullptr);
+    }
+  }
+  source_standin(const source_standin&) = delete;
+  source_standin& operator=(const source_standin&) = delete;
+
   void OnRead(evhttp_request* request) {
     static const std::string kPrefix = "/v1/kv/";
     const std::string path = Path(request);
--- a/testing/upstream_standin/main.cc
+++ b/testing/upstream_standin/main.cc
@@ -53,6 +53,16 @@
     Sample();
   }
 
+  // The server closes its connections after this object is gone.
+  ~upstream_standin() {
+    for (const work& w : running_) {
+      evhttp_connection_set_closecb(evhttp_request_get_connection(w.request),
+                                    nullptr, nullptr);
+    }
+  }
+  upstream_standin(const upstream_standin&) = delete;
+  upstream_standin& operator=(const upstream_standin&) = delete;
+
   void OnRequest(evhttp_request* request) {
     const std::string path = Path(request);
     if (path == "/health") return Reply(request, 200, "ok\n");
