Tell the egress guard of answered calls and mark own retries

Cause: without answers heard elsewhere, crash reports of peers can quarantine a frequent harmless call (docs/decisions/003-serving.md); a daemon's own retry was not marked for the layers below. Change: the ingress reports each answered fingerprint and marks later attempts; the smoke test checks that watches wait at the source.

--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -119,6 +119,9 @@
     parts.is_quarantined = [this](std::uint64_t fingerprint, instant now) {
       return egress_.IsQuarantined(fingerprint, now);
     };
+    parts.on_answered = [this](std::uint64_t fingerprint) {
+      egress_.OnAnsweredElsewhere(fingerprint);
+    };
     return parts;
   }
 
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -159,7 +159,9 @@
   attempts_.emplace(c->attempt, c->id);
   parts_.routes->OnStart(upstream->name);
   Schedule(c->deadline + kVerdictGrace, c->id);
-  out->push_back(forward_call{c->id, c->attempt, c->attempt_vm, c->info});
+  forward_call forward{c->id, c->attempt, c->attempt_vm, c->info};
+  forward.info.retry = c->info.retry || c->attempts > 1;
+  out->push_back(std::move(forward));
 }
 
 void ingress::EndAttempt(call* c, const attempt_end& end, instant now,
@@ -206,6 +208,7 @@
   switch (answer.outcome) {
     case outcome_kind::kAnswered:
       ++counters_.answered;
+      parts_.on_answered(c->info.fingerprint);
       break;
     case outcome_kind::kNotRun:
       ++counters_.refused_not_run;
--- a/src/core/ingress.h
+++ b/src/core/ingress.h
@@ -49,6 +49,9 @@
     retry_policy* retries = nullptr;
     // True if calls with this fingerprint crash upstreams.
     std::function<bool(std::uint64_t, instant)> is_quarantined;
+    // Told the fingerprint of each call that an upstream answered: it does not
+    // crash upstreams.
+    std::function<void(std::uint64_t)> on_answered;
   };
 
   ingress(std::string vm, std::uint64_t incarnation, parts parts);
--- a/testing/smoke/main.cc
+++ b/testing/smoke/main.cc
@@ -21,6 +21,7 @@
 #include "fleet/child_process.h"
 #include "fleet/fleet.h"
 #include "fleet/http_client.h"
+#include "fleet/source_sampler.h"
 #include "fleet/temporary_folder.h"
 #include "fleet/upstream_counts.h"
 #include "fleet/version_watch.h"
@@ -255,11 +256,24 @@
           daemon.vm + " refuses an unknown route");
   }
 
+  // A watch that the source answers at once, or that no daemon arms, costs one
+  // read a second and delays each change.
+  bool WatchesWait() {
+    const auto end = std::chrono::steady_clock::now() + kBound;
+    while (std::chrono::steady_clock::now() < end) {
+      const auto counts = ReadSourceCounts(fleet_->SourceAdminPort());
+      if (counts.has_value() && counts->waiting >= 2) return true;
+      std::this_thread::sleep_for(kPause);
+    }
+    return false;
+  }
+
   void CheckDaemonVerbs() {
     const verb_result status = RunVerb(AdminArguments("status"));
     Check(
         status.code == kOk && status.output.find("vm-b2") != std::string::npos,
         "status lists the daemons");
+    Check(WatchesWait(), "watches of the manifest and the VM list wait");
     const fleet_daemon& first = fleet_->Daemons().front();
     const verb_result dump = RunVerb({"dump", "--admin", AdminOf(first)});
     const auto state = nlohmann::json::parse(dump.output, nullptr, false);
