Test the end of the term less 5% at its exact time

Cause: the case replied at 950 ms, after the whole term of 600 ms, so that it passed without the 5% too.

Change: it replies at 570 ms.

--- a/testing/unit/contract_account_test.cc
+++ b/testing/unit/contract_account_test.cc
@@ -131,7 +131,7 @@
   } cases[] = {
       {"good", "home", 0, 5, true},
       {"from another VM", "other", 0, 5, false},
-      {"at the end of the term less 5%", "home", 0, 950, false},
+      {"at the end of the term less 5%", "home", 0, 570, false},
       {"of another process", "home", 1ULL << 40, 5, false},
   };
   for (const auto& test : cases) {
