--- a/src/core/distribution.h
+++ b/src/core/distribution.h
@@ -45,7 +45,7 @@
  public:
   static constexpr duration kHeartbeat = std::chrono::seconds(2);
   static constexpr duration kUnconfirmedWait = std::chrono::seconds(10);
-  // Without a set in force, waiting costs calls.
+  // Without a set in force and without any link, waiting costs calls.
   static constexpr duration kNoSetWait = std::chrono::seconds(3);
   // Without a VM list: time for the bootstrap peers to answer.
   static constexpr duration kNoListWait = std::chrono::seconds(1);
@@ -73,10 +73,10 @@
   // greatest fleet at once; afterwards one change is a few pieces.
   static constexpr int kRepliesPerSecond = 64;
   static constexpr int kReplyBurst = 256;
-  // Part reads of one reader. 30 readers that start together stay under the
-  // source's 2,000 reads/s.
-  static constexpr int kPartReadsPerSecond = 32;
-  static constexpr int kPartReadBurst = 16;
+  // Part reads of one reader. When 2,205 daemons start at once, 30 readers read
+  // parts while others read the VM list; the source serves 2,000 reads/s.
+  static constexpr int kPartReadsPerSecond = 24;
+  static constexpr int kPartReadBurst = 8;
 
   // `store` and `members` must outlive this object.
   distribution(const engine_options& options, config_store* store,
--- a/src/core/distribution_source.cc
+++ b/src/core/distribution_source.cc
@@ -119,7 +119,9 @@
   if (store_->Vms() == nullptr) {
     return has_bootstrap_peers_ ? kNoListWait : duration(0);
   }
-  return store_->Set() == nullptr ? kNoSetWait : kUnconfirmedWait;
+  // Linked peers without a set may be about to get it from the readers.
+  const bool alone = store_->Set() == nullptr && links_.empty();
+  return alone ? kNoSetWait : kUnconfirmedWait;
 }
 
 bool distribution::IsDirect(instant now) {
