Answer 502 when an upstream's answer is not at hand

Cause: if the engine relayed an attempt whose answer the host does not hold, the caller got the upstream's status with the body of a refusal.

Change: such a call ends with 502, may have run.

Before/after: the new case in host_test.cc expects 502 and not_run false.

Conclusion: a status of success always comes with the upstream's body.

--- a/src/net/daemon_host.cc
+++ b/src/net/daemon_host.cc
@@ -249,16 +249,18 @@
   // Actions.
 
   void Do(core::answer_call& action) {
-    http_answer answer;
-    const auto attempt = attempts_.find(action.attempt);
-    const bool has_answer = action.outcome == core::outcome_kind::kAnswered &&
-                            attempt != attempts_.end() &&
-                            attempt->second.answer.has_value();
-    if (has_answer) {
-      front_.Answer(action.call, *attempt->second.answer);
-    } else {
-      front_.Answer(action.call, RefusalAnswer(action));
+    if (action.outcome == core::outcome_kind::kAnswered) {
+      const auto attempt = attempts_.find(action.attempt);
+      if (attempt != attempts_.end() && attempt->second.answer) {
+        front_.Answer(action.call, *attempt->second.answer);
+        return EraseCall(action.call);
+      }
+      // Without the answer at hand, its status alone would mislead the caller.
+      action.outcome = core::outcome_kind::kMayHaveRun;
+      action.why = core::reason::kConnectionLost;
+      action.http_status = 502;
     }
+    front_.Answer(action.call, RefusalAnswer(action));
     EraseCall(action.call);
   }
 
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -190,7 +190,6 @@
     bufferevent_data_cb write = nullptr;
     bufferevent_event_cb event = nullptr;
     void* argument = nullptr;
-    impl* front = nullptr;
   };
 
   static bufferevent* MakeBufferevent(event_base* base, void* self) {
@@ -229,7 +228,6 @@
     connection_state& state = connections_[connection];
     if (state.connection == nullptr) {
       state.connection = connection;
-      state.front = this;
       evhttp_connection_set_closecb(connection, &impl::OnClose, this);
     }
     request_head head = {MethodName(evhttp_request_get_command(request)),
--- a/testing/unit/host_test.cc
+++ b/testing/unit/host_test.cc
@@ -210,6 +210,28 @@
   CHECK(caller.Has("\"reason\":\"peer_lost\",\"not_run\":true"));
 }
 
+// Guards against a success status for an answer that the host doesn't hold.
+TEST_CASE("an answer that is not at hand may have run") {
+  net_harness net;
+  daemon a(net, "a");
+  a.script.on_event = [&](const core::event& event) {
+    if (!std::holds_alternative<core::call_arrived>(event)) {
+      return core::actions{};
+    }
+    core::answer_call end;
+    end.call = 1;
+    end.attempt = 5;
+    end.outcome = core::outcome_kind::kAnswered;
+    end.http_status = 200;
+    return core::actions{end};
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("}"); }));
+  CHECK(caller.Has("HTTP/1.1 502"));
+  CHECK(caller.Has("\"not_run\":false"));
+}
+
 // Guards against an engine that isn't woken, and a paused daemon that takes a
 // call before what fell due.
 TEST_CASE("the engine is woken in time and before any call") {
