Take callers once calls can be admitted by the own share

Change: a daemon is ready when its own share is usable; the quarter of the permits that is never lent is usable with the share, as no earlier incarnation can have lent it.

--- a/include/pimentohall/core.h
+++ b/include/pimentohall/core.h
@@ -451,7 +451,8 @@
   // The latest time at which the host must send `tick`.
   instant NextWake() const;
 
-  // True once a set is in force and the start's version check is done.
+  // True once a set is in force, the start's version check is done and calls
+  // can be admitted here. The host takes calls from callers only then.
   bool IsReady() const;
 
   std::shared_ptr<const config::config_set> Set() const;
--- a/src/core/contract_allocator.cc
+++ b/src/core/contract_allocator.cc
@@ -122,9 +122,11 @@
     share.rate_per_s = state->limits.rate_per_s / divisor;
     share.cap = static_cast<double>(state->limits.burst) / divisor;
   }
-  if (!state->removed && permits_in_use_) {
+  if (!state->removed && share_in_use_) {
     share.permits = shares_.Permits(state->name, state->limits.max_concurrent);
     share.unlent_permits = UnlentPermits(share.permits);
+    // An earlier incarnation may have lent the rest.
+    if (!permits_in_use_) share.permits = share.unlent_permits;
   }
   state->account.SetShare(share, now);
 }
--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -113,6 +113,9 @@
 
   // Grows when a loan arrives; waiting calls then try again.
   std::uint64_t Generation() const { return generation_; }
+  // False while this VM, just started or listed, may not use its own share yet.
+  // Until then it depends on loans for every call.
+  bool UsesOwnShare() const { return share_in_use_; }
   // Time until the next token is likely, for Retry-After.
   duration RetryAfter(const std::string& organisation, instant now) const;
 
--- a/src/core/engine.cc
+++ b/src/core/engine.cc
@@ -82,7 +82,11 @@
     return wake;
   }
 
-  bool IsReady() const { return distribution_.IsReady() && !stopping_; }
+  // Callers are taken once this daemon can admit calls by its own share, so
+  // that a restart doesn't refuse calls that another daemon would admit.
+  bool IsReady() const {
+    return distribution_.IsReady() && allocator_.UsesOwnShare() && !stopping_;
+  }
   const config_store& Store() const { return store_; }
 
   const counters& Counters() const {
