--- a/testing/sim/oracle.h
+++ b/testing/sim/oracle.h
@@ -20,6 +20,7 @@
   core::instant sent;
   core::instant admitted;  // First forwarded attempt.
   core::instant deadline;  // As told to the first egress daemon.
+  std::string attempt_vm;  // Of the last attempt.
   bool was_admitted = false;
   int executions = 0;     // Starts at upstreams.
   bool answered = false;  // The caller got an answer or a refusal.
