Accept callers only once the engine is ready

Cause: a daemon listened for callers from its start and answered 503 until it was ready, so that callers kept their connections to a daemon that can't serve them. Change: the host binds the callers' port at the start, which reports a port in use, and listens on it when the engine is ready (checked at the start, after each handled event and on the wake-up). If another process that bound the port listens first, this is logged and retried every second. "listening" is logged once with the link and admin ports and once with the HTTP port.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -263,7 +263,11 @@
   http_front(event_loop& loop, http_front_options options);
   ~http_front();
 
-  // Starts to accept; returns the port.
+  // Binds the port without listening and returns it; until `Listen` the system
+  // refuses connections. Reports certificates that can't be loaded.
+  tl::expected<int, std::string> Bind();
+  // Starts to accept, after `Bind` if that wasn't called; returns the port.
+  // May be called again after an error.
   tl::expected<int, std::string> Listen();
   // Ends a call. Does nothing if the caller has left.
   void Answer(core::call_id call, const http_answer& answer);
@@ -493,6 +497,9 @@
     int link = 0;
     int admin = 0;
   };
+  // Listens for daemons and operators, and binds the port for callers. Callers
+  // are accepted once the engine is ready; until then their connections are
+  // refused, so that they go on to another daemon.
   tl::expected<ports, std::string> Listen();
   // Starts a planned stop; the loop is stopped when all calls are finished.
   void BeginStop();
--- a/src/net/daemon_host.cc
+++ b/src/net/daemon_host.cc
@@ -28,6 +28,7 @@
 // once would keep the sockets, and so what it waits for, from ever being
 // served.
 constexpr auto kMinWakeDelay = std::chrono::milliseconds(1);
+constexpr auto kListenRetryDelay = std::chrono::seconds(1);
 
 http_answer TextPage(int status, std::string text, const char* type) {
   return {status, {{"Content-Type", type}}, ShareBytes(std::move(text))};
@@ -81,13 +82,14 @@
     if (!link) return tl::make_unexpected(link.error());
     auto admin = admin_.Listen();
     if (!admin) return tl::make_unexpected(admin.error());
-    auto http = front_.Listen();
+    auto http = front_.Bind();
     if (!http) return tl::make_unexpected(http.error());
     Log(core::log_level::kInfo, "listening",
         {{"vm", settings_.vm},
-         {"http_port", std::to_string(*http)},
          {"link_port", std::to_string(*link)},
          {"admin_port", std::to_string(*admin)}});
+    front_bound_ = true;
+    AcceptCallersIfReady();
     loop_.Post([this] { Feed(core::tick{}); });
     return ports{*http, *link, *admin};
   }
@@ -202,12 +204,35 @@
         Perform(engine_->Handle(core::tick{}, now));
       }
       Perform(engine_->Handle(next, now));
+      AcceptCallersIfReady();
       std::visit([this](const auto& handled) { Forget(handled); }, next);
     }
     feeding_ = false;
     ArmWake();
   }
 
+  // Accepts callers from the first moment at which the engine is ready. An
+  // engine that is no longer ready refuses calls itself.
+  void AcceptCallersIfReady() {
+    if (accepting_ || stopping_ || !front_bound_ || !engine_->IsReady()) return;
+    if (listen_retry_.connected()) return;
+    const auto port = front_.Listen();
+    if (!port) {
+      // Another process bound the port too and listened first.
+      Log(core::log_level::kError, "can't accept callers",
+          {{"problem", port.error()}});
+      listen_retry_ =
+          timers_.After(kListenRetryDelay, sigc::slot<void()>([this] {
+                          listen_retry_.disconnect();
+                          AcceptCallersIfReady();
+                        }));
+      return;
+    }
+    accepting_ = true;
+    Log(core::log_level::kInfo, "listening",
+        {{"vm", settings_.vm}, {"http_port", std::to_string(*port)}});
+  }
+
   // Drops what is of no use once the engine has handled the event.
   template <typename other>
   void Forget(const other&) {}
@@ -241,6 +266,7 @@
                                   if (engine_->NextWake() <= loop_.Now()) {
                                     Feed(core::tick{});
                                   } else {
+                                    AcceptCallersIfReady();
                                     ArmWake();
                                   }
                                 }));
@@ -449,6 +475,9 @@
   std::map<peer_key, peer_call_state> peer_calls_;
 
   core::instant in_force_since_;
+  bool front_bound_ = false;
+  bool accepting_ = false;  // Callers can connect, or could until the stop.
+  sigc::connection listen_retry_;
   bool stopping_ = false;
   bool front_stopped_ = false;
   core::instant stop_deadline_;
--- a/src/net/http_front.cc
+++ b/src/net/http_front.cc
@@ -18,6 +18,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <openssl/crypto.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -136,16 +137,31 @@
     for (auto& [connection, state] : connections_) {
       evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
+    CloseBoundSocket();
   }
 
-  tl::expected<int, std::string> Listen() {
+  tl::expected<int, std::string> Bind() {
     if (auto loaded = ReloadCertificates(); !loaded) {
       return tl::unexpected(loaded.error());
     }
-    auto socket = OpenListeningSocket(options_.listen);
+    auto socket = OpenBoundSocket(options_.listen);
     if (!socket) return tl::unexpected(socket.error());
-    bound_ = evhttp_accept_socket_with_handle(http_.get(), *socket);
-    return BoundPort(*socket);
+    bound_socket_ = *socket;
+    return BoundPort(bound_socket_);
+  }
+
+  tl::expected<int, std::string> Listen() {
+    if (bound_socket_ < 0) {
+      if (auto port = Bind(); !port) return port;
+    }
+    if (auto listening = StartListening(bound_socket_, options_.listen);
+        !listening) {
+      return tl::unexpected(listening.error());
+    }
+    // evhttp closes the socket from here on.
+    const int socket = std::exchange(bound_socket_, -1);
+    bound_ = evhttp_accept_socket_with_handle(http_.get(), socket);
+    return BoundPort(socket);
   }
 
   tl::expected<void, std::string> ReloadCertificates() {
@@ -175,6 +191,7 @@
       evhttp_del_accept_socket(http_.get(), bound_);
       bound_ = nullptr;
     }
+    CloseBoundSocket();
     CloseIdle();
     CheckStopped();
   }
@@ -316,6 +333,11 @@
     evhttp_send_reply(request, answer.status, nullptr, nullptr);
   }
 
+  // Closes the socket of `Bind` if it never listened.
+  void CloseBoundSocket() {
+    if (bound_socket_ >= 0) close(std::exchange(bound_socket_, -1));
+  }
+
   // Closes connections on which no byte of a request waits.
   void CloseIdle() {
     std::vector<evhttp_connection*> idle;
@@ -344,6 +366,7 @@
   std::unordered_map<evhttp_connection*, connection_state> connections_;
   std::unordered_map<core::call_id, evhttp_request*> pending_;
   core::call_id last_call_ = 0;
+  int bound_socket_ = -1;  // Bound and not listening; -1: none.
   evhttp_bound_socket* bound_ = nullptr;
   bool stopping_ = false;
   std::function<void()> stopped_;
@@ -355,6 +378,7 @@
     : impl_(std::make_unique<impl>(loop, std::move(options), this)) {}
 http_front::~http_front() = default;
 
+tl::expected<int, std::string> http_front::Bind() { return impl_->Bind(); }
 tl::expected<int, std::string> http_front::Listen() { return impl_->Listen(); }
 void http_front::Answer(core::call_id call, const http_answer& answer) {
   impl_->Answer(call, answer);
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -26,7 +26,7 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-tl::expected<int, std::string> OpenListeningSocket(const endpoint& where) {
+tl::expected<int, std::string> OpenBoundSocket(const endpoint& where) {
   sockaddr_storage address{};
   int size = sizeof(address);
   auto* const generic = reinterpret_cast<sockaddr*>(&address);
@@ -45,15 +45,30 @@
   if (fd < 0) return tl::unexpected(ErrorText(where, "socket"));
   evutil_make_listen_socket_reuseable(fd);
   DisableNagle(fd);
-  if (bind(fd, generic, static_cast<socklen_t>(size)) != 0 ||
-      listen(fd, kBacklog) != 0) {
-    std::string problem = ErrorText(where, "listen");
+  if (bind(fd, generic, static_cast<socklen_t>(size)) != 0) {
+    std::string problem = ErrorText(where, "bind");
     close(fd);
     return tl::unexpected(std::move(problem));
   }
   return fd;
 }
 
+tl::expected<void, std::string> StartListening(int socket,
+                                               const endpoint& where) {
+  if (listen(socket, kBacklog) == 0) return {};
+  return tl::unexpected(ErrorText(where, "listen"));
+}
+
+tl::expected<int, std::string> OpenListeningSocket(const endpoint& where) {
+  auto fd = OpenBoundSocket(where);
+  if (!fd) return fd;
+  if (auto listening = StartListening(*fd, where); !listening) {
+    close(*fd);
+    return tl::unexpected(listening.error());
+  }
+  return fd;
+}
+
 int BoundPort(int socket) {
   sockaddr_storage address{};
   socklen_t size = sizeof(address);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -9,6 +9,13 @@
 
 namespace pimentohall::net {
 
+// A non-blocking socket bound to `where`. Until `StartListening` the system
+// refuses connections to its port. Two sockets can be bound to one port while
+// neither listens; `StartListening` then fails for the second.
+tl::expected<int, std::string> OpenBoundSocket(const endpoint& where);
+// The socket stays open on error.
+tl::expected<void, std::string> StartListening(int socket,
+                                               const endpoint& where);
 // A non-blocking listening socket. TCP_NODELAY is set on it, and on Linux
 // accepted sockets inherit that.
 tl::expected<int, std::string> OpenListeningSocket(const endpoint& where);
--- a/testing/unit/host_test.cc
+++ b/testing/unit/host_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -189,6 +190,117 @@
   REQUIRE(net.RunUntil([&] { return b.Saw("upstream_failed"); }));
 }
 
+// Guards against callers that wait at a daemon which can't serve them yet, and
+// against a daemon that never accepts them.
+TEST_CASE("callers are refused a connection until the engine is ready") {
+  net_harness net;
+  scripted_engine::script script;
+  script.ready = false;
+  bool may_be_ready = false;
+  script.on_event = [&](const core::event& event) {
+    script.ready = may_be_ready;
+    script.wake = net.loop.Now() + std::chrono::milliseconds(5);
+    const auto* call = std::get_if<core::call_arrived>(&event);
+    if (call == nullptr) return core::actions{};
+    core::answer_call end;
+    end.call = call->call;
+    end.http_status = 404;
+    return core::actions{end};
+  };
+  daemon_settings settings;
+  settings.vm = "a";
+  settings.zone = "z";
+  daemon_host host(net.loop, settings,
+                   std::make_unique<scripted_engine>(&script));
+  const auto ports = host.Listen();
+  REQUIRE(ports);
+  REQUIRE(ports->http != 0);
+  raw_stream early(net, ports->http);
+  REQUIRE(net.RunUntil([&] { return early.closed; }));
+
+  // The engine becomes ready while it handles a wake-up.
+  may_be_ready = true;
+  REQUIRE(net.RunUntil([&] { return script.ready; }));
+  raw_stream caller(net, ports->http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("}") || caller.closed; }));
+  CHECK(caller.Has("HTTP/1.1 404"));
+
+  host.BeginStop();
+  raw_stream late(net, ports->http);
+  REQUIRE(net.RunUntil([&] { return late.closed; }));
+}
+
+// Guards against a socket that starts to listen after the planned stop began.
+TEST_CASE("an engine that becomes ready during a planned stop") {
+  net_harness net;
+  scripted_engine::script script;
+  script.ready = false;
+  daemon_settings settings;
+  settings.vm = "a";
+  settings.zone = "z";
+  daemon_host host(net.loop, settings,
+                   std::make_unique<scripted_engine>(&script));
+  const auto ports = host.Listen();
+  REQUIRE(ports);
+  script.on_event = [&](const core::event&) {
+    script.ready = true;
+    return core::actions{};
+  };
+  host.BeginStop();
+  REQUIRE(script.ready);
+  raw_stream late(net, ports->http);
+  REQUIRE(net.RunUntil([&] { return late.closed; }));
+}
+
+// Guards against a daemon that stays without callers for good after another
+// process that was bound to its port has listened first.
+TEST_CASE("listening for callers is retried") {
+  net_harness net;
+  const auto other = OpenBoundSocket({"127.0.0.1", 0});
+  REQUIRE(other);
+  scripted_engine::script script;
+  script.ready = false;
+  daemon_settings settings;
+  settings.vm = "a";
+  settings.zone = "z";
+  settings.http.port = BoundPort(*other);
+  daemon_host host(net.loop, settings,
+                   std::make_unique<scripted_engine>(&script));
+  const auto ports = host.Listen();
+  REQUIRE(ports);
+  REQUIRE(StartListening(*other, settings.http));
+  script.ready = true;
+  REQUIRE(net.RunUntil([&] { return !script.events.empty(); }));
+  close(*other);
+  const auto connects = [&] {
+    raw_stream caller(net, ports->http);
+    caller.Write(kAsk);
+    const std::size_t before = script.events.size();
+    REQUIRE(net.RunUntil(
+        [&] { return caller.closed || script.events.size() > before; }));
+    return !caller.closed;
+  };
+  REQUIRE(net.RunUntil(connects));
+}
+
+// Guards against a port conflict that shows only once the engine is ready.
+TEST_CASE("a port for callers that is in use is an error at the start") {
+  net_harness net;
+  raw_server other(net);
+  scripted_engine::script script;
+  script.ready = false;
+  daemon_settings settings;
+  settings.vm = "a";
+  settings.zone = "z";
+  settings.http.port = other.port;
+  daemon_host host(net.loop, settings,
+                   std::make_unique<scripted_engine>(&script));
+  const auto ports = host.Listen();
+  REQUIRE(!ports);
+  CHECK(ports.error().find("bind") != std::string::npos);
+}
+
 // Guards against a forward to a VM without an address that waits forever.
 TEST_CASE("a forward without an address fails") {
   net_harness net;
