Add metrics of control bytes, refusals, call durations and links

Cause: /metrics had the engine's counters only. Control traffic, the reasons of refusals and the time of calls could not be read from a running daemon. Change: pimentohall_control_bytes_total{direction}, counted in link_service as message bytes without WebSocket and TLS framing; pimentohall_refusals_total{reason} and pimentohall_call_duration_seconds from the engine's answer_call actions; pimentohall_links_up. link_service::Counts replaces BadFrames. Labels hold a direction or a reason only.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -417,6 +417,15 @@
   core::duration call_idle = std::chrono::seconds(60);
 };
 
+// Counts since the start, but for `links_up`.
+struct link_counts {
+  // Bytes of messages on control links, without WebSocket and TLS framing.
+  std::uint64_t control_bytes_sent = 0;
+  std::uint64_t control_bytes_received = 0;
+  std::uint64_t bad_frames = 0;  // Links closed because of a bad frame.
+  std::size_t links_up = 0;      // Peers with an open control link.
+};
+
 // Control and call links to all peers. There is one logical control link for
 // each peer, made of one connection or, after simultaneous dials, two; it goes
 // down when the last one closes. Call connections are dialled by the ingress
@@ -458,8 +467,7 @@
   // peer's calls and its own forwards together.
   std::function<void(core::call_link_down)> on_call_link_down;
 
-  // Links that were closed because of a bad frame.
-  std::uint64_t BadFrames() const;
+  link_counts Counts() const;
 
  private:
   class impl;
--- a/src/net/daemon_host.cc
+++ b/src/net/daemon_host.cc
@@ -122,6 +122,7 @@
   struct call_state {
     http_message request;
     std::vector<core::attempt_id> attempts;
+    core::instant arrived;
   };
   struct peer_call_state {
     http_message request;
@@ -130,7 +131,7 @@
 
   void ConnectFront() {
     front_.on_call = [this](core::call_arrived call, http_message request) {
-      calls_[call.call].request = std::move(request);
+      calls_[call.call] = {std::move(request), {}, loop_.Now()};
       Feed(std::move(call));
     };
     front_.on_cancelled = [this](core::call_id call) {
@@ -275,6 +276,10 @@
   // Actions.
 
   void Do(core::answer_call& action) {
+    const auto call = calls_.find(action.call);
+    if (call != calls_.end()) {
+      metrics_.ObserveCall(loop_.Now() - call->second.arrived);
+    }
     if (action.outcome == core::outcome_kind::kAnswered) {
       const auto attempt = attempts_.find(action.attempt);
       if (attempt != attempts_.end() && attempt->second.answer) {
@@ -286,6 +291,7 @@
       action.why = core::reason::kConnectionLost;
       action.http_status = 502;
     }
+    metrics_.CountRefusal(action.why);
     front_.Answer(action.call, RefusalAnswer(action));
     EraseCall(action.call);
   }
@@ -435,7 +441,7 @@
     const auto set = engine_->Set();
     gauges.config_version = set ? set->Version() : 0;
     gauges.calls_pending = front_.Pending();
-    gauges.bad_frames = links_.BadFrames();
+    gauges.links = links_.Counts();
     return metrics_.Render(engine_->Counters(), gauges);
   }
 
--- a/src/net/link_service.cc
+++ b/src/net/link_service.cc
@@ -103,7 +103,9 @@
   void Send(const std::string& vm, const core::message& message) {
     const auto found = peers_.find(vm);
     if (found == peers_.end() || found->second.control.empty()) return;
-    found->second.control.front()->Send(EncodeMessage(message));
+    const std::string bytes = EncodeMessage(message);
+    if (!found->second.control.front()->Send(bytes)) return;
+    counts_.control_bytes_sent += bytes.size();
   }
 
   void SetAddress(const std::string& vm, const endpoint& address) {
@@ -162,7 +164,13 @@
     }
   }
 
-  std::uint64_t BadFrames() const { return bad_frames_; }
+  link_counts Counts() const {
+    link_counts counts = counts_;
+    for (const auto& [vm, to] : peers_) {
+      if (!to.control.empty()) ++counts.links_up;
+    }
+    return counts;
+  }
 
   // link_connection::observer
 
@@ -194,7 +202,7 @@
                           ? TakeMessage(connection, frame)
                           : TakeCallFrame(connection, frame);
     if (good) return;
-    ++bad_frames_;
+    ++counts_.bad_frames;
     Log(core::log_level::kWarning, "bad frame", {{"vm", connection->PeerVm()}});
     connection->Close();
     OnClosed(connection);
@@ -346,6 +354,7 @@
   }
 
   bool TakeMessage(link_connection* connection, std::string_view frame) {
+    counts_.control_bytes_received += frame.size();
     auto message = DecodeMessage(frame);
     if (!message) return false;
     owner_->on_message({connection->PeerVm(), std::move(*message)});
@@ -432,7 +441,7 @@
       peer_calls_;
   std::unordered_map<link_connection*, owned> connections_;
   std::vector<std::unique_ptr<link_connection>> dropped_;
-  std::uint64_t bad_frames_ = 0;
+  link_counts counts_;  // `links_up` is counted on request.
   sigc::connection idle_timer_;
 };
 
@@ -466,6 +475,6 @@
                               const answer_frame& frame) {
   impl_->AnswerPeer(vm, frame);
 }
-std::uint64_t link_service::BadFrames() const { return impl_->BadFrames(); }
+link_counts link_service::Counts() const { return impl_->Counts(); }
 
 }  // namespace pimentohall::net
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -32,6 +32,15 @@
      "Calls started on upstreams beside this VM."},
 };
 
+// Upper bounds in seconds, from half a millisecond to 10 s.
+const prometheus::Histogram::BucketBoundaries kDurationBounds = {
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+
+// Raises a counter, which can only be incremented, to `total`.
+void RaiseTo(prometheus::Counter* counter, std::uint64_t total) {
+  counter->Increment(static_cast<double>(total) - counter->Value());
+}
+
 }  // namespace
 
 metrics::metrics()
@@ -41,7 +50,24 @@
       calls_pending_(
           AddGauge("pimentohall_calls_pending", "Calls without an answer.")),
       bad_frames_(AddGauge("pimentohall_bad_frames",
-                           "Links closed for a bad frame since the start.")) {
+                           "Links closed for a bad frame since the start.")),
+      links_up_(
+          AddGauge("pimentohall_links_up", "Peers with an open control link.")),
+      refusals_(&prometheus::BuildCounter()
+                     .Name("pimentohall_refusals_total")
+                     .Help("Calls that ended without an upstream's answer.")
+                     .Register(registry_)),
+      call_duration_(&prometheus::BuildHistogram()
+                          .Name("pimentohall_call_duration_seconds")
+                          .Help("Time from a whole request to its answer.")
+                          .Register(registry_)
+                          .Add({}, kDurationBounds)) {
+  auto& control_bytes = prometheus::BuildCounter()
+                            .Name("pimentohall_control_bytes_total")
+                            .Help("Bytes of messages on control links.")
+                            .Register(registry_);
+  control_bytes_sent_ = &control_bytes.Add({{"direction", "sent"}});
+  control_bytes_received_ = &control_bytes.Add({{"direction", "received"}});
   for (const counter_name& row : kCounters) {
     rows_.push_back({row.field, &prometheus::BuildCounter()
                                      .Name(row.name)
@@ -59,16 +85,26 @@
               .Add({});
 }
 
+void metrics::ObserveCall(core::duration duration) {
+  call_duration_->Observe(std::chrono::duration<double>(duration).count());
+}
+
+void metrics::CountRefusal(core::reason why) {
+  refusals_->Add({{"reason", core::ReasonName(why)}}).Increment();
+}
+
 std::string metrics::Render(const core::counters& counters,
                             const host_gauges& gauges) {
   for (const counter_row& row : rows_) {
-    const auto now = static_cast<double>(counters.*row.field);
-    row.counter->Increment(now - row.counter->Value());
+    RaiseTo(row.counter, counters.*row.field);
   }
   ready_->Set(gauges.ready ? 1 : 0);
   config_version_->Set(static_cast<double>(gauges.config_version));
   calls_pending_->Set(static_cast<double>(gauges.calls_pending));
-  bad_frames_->Set(static_cast<double>(gauges.bad_frames));
+  bad_frames_->Set(static_cast<double>(gauges.links.bad_frames));
+  links_up_->Set(static_cast<double>(gauges.links.links_up));
+  RaiseTo(control_bytes_sent_, gauges.links.control_bytes_sent);
+  RaiseTo(control_bytes_received_, gauges.links.control_bytes_received);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -4,13 +4,16 @@
 // The engine's counters and a few of the host's in the Prometheus text format.
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <string>
 #include <vector>
 
 #include "pimentohall/core.h"
+#include "pimentohall/net.h"
 
 namespace pimentohall::net {
 
@@ -18,12 +21,16 @@
   bool ready = false;
   std::uint64_t config_version = 0;
   std::size_t calls_pending = 0;
-  std::uint64_t bad_frames = 0;
+  link_counts links;
 };
 
 class metrics {
  public:
   metrics();
+  // A call that was answered `duration` after the request was whole.
+  void ObserveCall(core::duration duration);
+  // A call that ended without an upstream's answer.
+  void CountRefusal(core::reason why);
   // Takes the values over and renders them.
   std::string Render(const core::counters& counters, const host_gauges& gauges);
 
@@ -40,6 +47,11 @@
   prometheus::Gauge* config_version_;
   prometheus::Gauge* calls_pending_;
   prometheus::Gauge* bad_frames_;
+  prometheus::Gauge* links_up_;
+  prometheus::Counter* control_bytes_sent_;
+  prometheus::Counter* control_bytes_received_;
+  prometheus::Family<prometheus::Counter>* refusals_;
+  prometheus::Histogram* call_duration_;
 };
 
 }  // namespace pimentohall::net
--- a/testing/unit/host_test.cc
+++ b/testing/unit/host_test.cc
@@ -407,6 +407,77 @@
   CHECK(has("/metrics", "pimentohall_ready 0\n"));
 }
 
+// Guards against metrics that miss calls, count refusals under a wrong reason
+// or miss control traffic.
+TEST_CASE("metrics of calls, refusals and links") {
+  net_harness net;
+  raw_server upstream(net);
+  AnswerEcho(&upstream);
+  daemon a(net, "a");
+  daemon b(net, "b");
+  a.script.on_event = [&](const core::event& event) {
+    const auto* call = std::get_if<core::call_arrived>(&event);
+    if (call == nullptr || call->call != 2) {
+      return Relay(event, "a", upstream.port);
+    }
+    core::answer_call end;
+    end.call = call->call;
+    end.why = core::reason::kRateExceeded;
+    end.http_status = 429;
+    return core::actions{end};
+  };
+  raw_stream caller(net, a.ports.http);
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("told"); }));
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return caller.Has("HTTP/1.1 429"); }));
+
+  // The next call opens a link to b; the one after it sends a message.
+  const core::status_message status;
+  a.script.on_event = [&](const core::event& event) {
+    const auto* call = std::get_if<core::call_arrived>(&event);
+    if (call == nullptr) return core::actions{};
+    core::answer_call end;
+    end.call = call->call;
+    end.why = core::reason::kRateExceeded;
+    end.http_status = 429;
+    if (call->call == 3) {
+      return core::actions{core::open_link{"b", "127.0.0.1", b.ports.link},
+                           end};
+    }
+    return core::actions{core::send_message{"b", status}, end};
+  };
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return a.Saw("link_up") && b.Saw("link_up"); }));
+  caller.Write(kAsk);
+  REQUIRE(net.RunUntil([&] { return b.Saw("message_received"); }));
+
+  const auto metrics = [&](int port) {
+    raw_stream reader(net, port);
+    reader.Write(
+        "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    REQUIRE(net.RunUntil([&] { return reader.closed; }));
+    return reader.received;
+  };
+  const auto has = [](const std::string& text, const std::string& line) {
+    return text.find("\n" + line + "\n") != std::string::npos;
+  };
+  const std::string size =
+      std::to_string(EncodeMessage(core::message{status}).size());
+  const std::string of_a = metrics(a.ports.admin);
+  CHECK(has(of_a, "pimentohall_refusals_total{reason=\"rate_exceeded\"} 3"));
+  CHECK(has(of_a, "pimentohall_call_duration_seconds_count 4"));
+  CHECK(of_a.find("_bucket{le=\"0.0005\"}") != std::string::npos);
+  CHECK(has(of_a, "pimentohall_call_duration_seconds_bucket{le=\"10\"} 4"));
+  CHECK(has(of_a, "pimentohall_links_up 1"));
+  CHECK(
+      has(of_a, "pimentohall_control_bytes_total{direction=\"sent\"} " + size));
+  const std::string of_b = metrics(b.ports.admin);
+  CHECK(has(of_b,
+            "pimentohall_control_bytes_total{direction=\"received\"} " + size));
+  CHECK(has(of_b, "pimentohall_call_duration_seconds_count 0"));
+}
+
 // Guards against a stop that cuts the running call, or never ends.
 TEST_CASE("a planned stop finishes the running call and ends the loop") {
   net_harness net;
--- a/testing/unit/link_test.cc
+++ b/testing/unit/link_test.cc
@@ -322,7 +322,7 @@
     stranger.Write(bytes);
     REQUIRE(net.RunUntil([&] { return stranger.closed; }));
   }
-  CHECK(b.links.BadFrames() == 5);
+  CHECK(b.links.Counts().bad_frames == 5);
   a.SendText("b", "still up");
   REQUIRE(net.RunUntil([&] { return b.Has("message a still up"); }));
   CHECK_FALSE(b.Has("down a"));
