--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -263,7 +263,11 @@
   http_front(event_loop& loop, http_front_options options);
   ~http_front();
 
-  // Starts to accept; returns the port.
+  // Binds the port without listening and returns it; until `Listen` the system
+  // refuses connections. Reports certificates that can't be loaded.
+  tl::expected<int, std::string> Bind();
+  // Starts to accept, after `Bind` if that wasn't called; returns the port.
+  // May be called again after an error.
   tl::expected<int, std::string> Listen();
   // Ends a call. Does nothing if the caller has left.
   void Answer(core::call_id call, const http_answer& answer);
@@ -413,6 +417,15 @@
   core::duration call_idle = std::chrono::seconds(60);
 };
 
+// Counts since the start, but for `links_up`.
+struct link_counts {
+  // Bytes of messages on control links, without WebSocket and TLS framing.
+  std::uint64_t control_bytes_sent = 0;
+  std::uint64_t control_bytes_received = 0;
+  std::uint64_t bad_frames = 0;  // Links closed because of a bad frame.
+  std::size_t links_up = 0;      // Peers with an open control link.
+};
+
 // Control and call links to all peers. There is one logical control link for
 // each peer, made of one connection or, after simultaneous dials, two; it goes
 // down when the last one closes. Call connections are dialled by the ingress
@@ -454,8 +467,7 @@
   // peer's calls and its own forwards together.
   std::function<void(core::call_link_down)> on_call_link_down;
 
-  // Links that were closed because of a bad frame.
-  std::uint64_t BadFrames() const;
+  link_counts Counts() const;
 
  private:
   class impl;
@@ -493,6 +505,9 @@
     int link = 0;
     int admin = 0;
   };
+  // Listens for daemons and operators, and binds the port for callers. Callers
+  // are accepted once the engine is ready; until then their connections are
+  // refused, so that they go on to another daemon.
   tl::expected<ports, std::string> Listen();
   // Starts a planned stop; the loop is stopped when all calls are finished.
   void BeginStop();
