--- /dev/null
+++ b/testing/unit/ingress_test.cc
@@ -0,0 +1,132 @@
+#include "core/ingress.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/membership.h"
+#include "unit/config_files.h"
+
+namespace pimentohall::core {
+namespace {
+
+// An ingress on VM `v`, beside the only upstream of an open, non-idempotent
+// route, so that no call needs an organisation.
+class bench {
+ public:
+  bench() : members_("v", "z", {}), router_(&members_, "z", 1) {
+    const std::map<std::string, std::string> parts = {
+        {"zones", R"({"zones":[{"name":"z","region":"r","state":"in"}]})"},
+        {"services/s",
+         R"({"name":"s","routes":[{"name":"r","path_prefix":"/r",)"
+         R"("methods":["POST"],"open":true}],"upstreams":[{"name":"u",)"
+         R"("vm":"v","address":"127.0.0.1","port":1}]})"}};
+    store_.OfferManifest(config::BuildManifest(1, parts));
+    for (const auto& [digest, bytes] : config::PartsByDigest(parts)) {
+      store_.OfferPart(digest, bytes);
+    }
+    REQUIRE(store_.Set() != nullptr);
+    auto vms = std::make_shared<config::vm_list>();
+    config::vm own;
+    own.name = "v";
+    own.zone = "z";
+    own.address = "127.0.0.1";
+    vms->vms.push_back(own);
+    members_.SetVms(vms);
+    router_.SetConfig(store_.Set());
+    router_.SetVms(vms);
+    ingress::parts used;
+    used.store = &store_;
+    used.routes = &router_;
+    used.retries = &retries_;
+    used.is_quarantined = [](std::uint64_t, instant) { return false; };
+    used.on_answered = [](std::uint64_t) {};
+    ingress_ = std::make_unique<ingress>("v", 1, used);
+  }
+
+  // The attempt that the call is forwarded with.
+  attempt_id Forward(call_id id) {
+    call_arrived arrived;
+    arrived.call = id;
+    arrived.method = "POST";
+    arrived.path = "/r";
+    actions out;
+    ingress_->OnCallArrived(arrived, now_, &out);
+    REQUIRE(out.size() == 1);
+    REQUIRE(std::holds_alternative<forward_call>(out[0]));
+    return std::get<forward_call>(out[0]).attempt;
+  }
+
+  // The answers that callers get for an answer of a peer.
+  std::vector<answer_call> Answer(const std::string& vm, attempt_id attempt) {
+    peer_answer answer;
+    answer.vm = vm;
+    answer.attempt = attempt;
+    answer.outcome = outcome_kind::kAnswered;
+    answer.http_status = 200;
+    actions out;
+    ingress_->OnPeerAnswer(answer, now_, &out);
+    return AnswersIn(out);
+  }
+
+  std::vector<answer_call> LoseLink() {
+    actions out;
+    ingress_->OnCallLinkDown("v", now_, &out);
+    return AnswersIn(out);
+  }
+
+ private:
+  static std::vector<answer_call> AnswersIn(const actions& out) {
+    std::vector<answer_call> answers;
+    for (const action& each : out) {
+      if (const auto* answer = std::get_if<answer_call>(&each)) {
+        answers.push_back(*answer);
+      }
+    }
+    return answers;
+  }
+
+  instant now_ = instant{} + std::chrono::seconds(1000);
+  config_store store_;
+  membership members_;
+  router router_;
+  retry_policy retries_;
+  std::unique_ptr<ingress> ingress_;
+};
+
+// Guards against a caller that gets the answer to another call of the same VM.
+TEST_CASE("ingress matches answers by VM and attempt") {
+  bench at;
+  const std::vector<attempt_id> attempts = {at.Forward(1), at.Forward(2),
+                                            at.Forward(3)};
+  CHECK(at.Answer("other", attempts[1]).empty());
+  CHECK(at.Answer("v", attempts[2] + 1).empty());
+  for (const call_id id : {2, 1, 3}) {
+    CAPTURE(id);
+    const attempt_id attempt = attempts[id - 1];
+    const std::vector<answer_call> answers = at.Answer("v", attempt);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].call == id);
+    CHECK(answers[0].attempt == attempt);
+    CHECK(at.Answer("v", attempt).empty());
+  }
+}
+
+// Guards against "not run" for a call that the egress daemon may have started
+// before the link broke.
+TEST_CASE("ingress answers may have run when a call link is lost") {
+  bench at;
+  at.Forward(1);
+  const std::vector<answer_call> answers = at.LoseLink();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].outcome == outcome_kind::kMayHaveRun);
+}
+
+}  // namespace
+}  // namespace pimentohall::core
