Ask at most 64 VMs for confirmations and loans

Cause: a daemon with the target's configuration (2,200 VMs, 3 of them running) never became ready; strace showed it dialling every listed VM: the allocator's start check asks all of them, through a link each. Change: no start check in fleets of more than 64 VMs (a starting VM waits 8 s), and a home asks 64 VMs in a round, in turns. Lint fixes in the harness. Conclusion: pooling over more than 64 VMs needs the second level of homes.

--- a/measure/fault_matrix/main.cc
+++ b/measure/fault_matrix/main.cc
@@ -94,6 +94,7 @@
             std::vector<cell>* cells) {
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> workers;
+  workers.reserve(static_cast<std::size_t>(threads));
   for (int i = 0; i < threads; ++i) {
     workers.emplace_back([&] {
       for (std::size_t k = next++; k < cells->size(); k = next++) {
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -62,8 +62,9 @@
       return e.getExitStatus() == 0 ? kOk : kUsage;
     }
   }
-  if (!name.empty())
+  if (!name.empty()) {
     std::cerr << "pimentohall: unknown verb '" << name << "'\n";
+  }
   PrintHelp(std::cerr);
   return kUsage;
 }
--- a/src/core/contract_allocator.h
+++ b/src/core/contract_allocator.h
@@ -1,6 +1,7 @@
 #ifndef PIMENTOHALL_CORE_CONTRACT_ALLOCATOR_H_
 #define PIMENTOHALL_CORE_CONTRACT_ALLOCATOR_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -64,6 +65,12 @@
  public:
   // Greatest time that a call waits for tokens from the home VM.
   static constexpr duration kAcquireWait = std::chrono::milliseconds(30);
+  // In larger fleets a starting VM does not ask all others whether they hold
+  // loans of its earlier run, but waits. Asking 2,200 VMs opened as many links
+  // and kept the daemon from reading its configuration.
+  static constexpr std::size_t kMaxStartCheckVms = 64;
+  // VMs that a home asks in one round; in larger fleets the rounds take turns.
+  static constexpr int kMaxGatherVms = 64;
   // Term of an idle VM's loan to the home, and time between its renewals.
   static constexpr duration kShareTerm = std::chrono::milliseconds(2500);
   static constexpr duration kShareRenewal = std::chrono::milliseconds(1000);
@@ -176,7 +183,8 @@
     // As the home.
     std::map<std::string, remote_demand> demands;
     instant gathered_at = instant::min();
-    int open_gathers = 0;  // Share requests without an answer.
+    int open_gathers = 0;    // Share requests without an answer.
+    std::string last_asked;  // VM of the last gather; the next one follows.
     // As a lender.
     std::map<loan_party, request_mark> last_request;
   };
--- a/src/core/contract_allocator_borrow.cc
+++ b/src/core/contract_allocator_borrow.cc
@@ -240,7 +240,17 @@
       std::min(pooled, 2 * pooled / std::max<std::int64_t>(1, vms - 1) + 1);
   state->gathered_at = now;
   state->open_gathers = 0;
-  for (const std::string& vm : shares_.Listed()) {
+  const std::set<std::string>& listed = shares_.Listed();
+  auto next = listed.upper_bound(state->last_asked);
+  for (std::size_t i = 0; i < listed.size(); ++i) {
+    if (state->open_gathers == kMaxGatherVms) {
+      return;
+    }
+    if (next == listed.end()) {
+      next = listed.begin();
+    }
+    const std::string& vm = *next++;
+    state->last_asked = vm;
     if (vm == directory_.self || !directory_.is_usable(vm, now)) {
       continue;
     }
--- a/src/core/contract_allocator_lend.cc
+++ b/src/core/contract_allocator_lend.cc
@@ -301,7 +301,8 @@
 }
 
 bool contract_allocator::IsStarting(instant now) const {
-  return start_check_ && shares_.IsListed() && now < permits_from_;
+  const bool small = shares_.Listed().size() <= kMaxStartCheckVms;
+  return start_check_ && small && shares_.IsListed() && now < permits_from_;
 }
 
 void contract_allocator::EndStartCheck(instant now) {
--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -24,7 +24,9 @@
 constexpr int kCounterBits = 64 - kIncarnationBits;
 
 std::uint64_t HashInto(std::uint64_t seed, std::string_view text) {
-  return XXH64(text.data(), text.size(), seed);
+  // xxhash asks for a pointer even where the size is 0.
+  return text.empty() ? XXH64("", 0, seed)
+                      : XXH64(text.data(), text.size(), seed);
 }
 
 std::uint64_t Fingerprint(const call_arrived& arrived,
--- a/testing/fleet/child_process.cc
+++ b/testing/fleet/child_process.cc
@@ -110,8 +110,9 @@
   child.id_ = std::max(id, 0);
   const int error = id < 0 ? errno : WaitExec(failure[0]);
   close(failure[0]);
-  if (error != 0)
+  if (error != 0) {
     return FleetError(command.front() + ": " + std::strerror(error));
+  }
   if (!Register(id)) return FleetError("too many child processes");
   return child;
 }
--- a/testing/fleet/version_watch.cc
+++ b/testing/fleet/version_watch.cc
@@ -142,8 +142,10 @@
   static void OnAnswer(evhttp_request* request, void* argument) {
     auto* p = static_cast<probe*>(argument);
     p->asking = false;
-    if (request == nullptr || evhttp_request_get_response_code(request) != kOk)
+    if (request == nullptr ||
+        evhttp_request_get_response_code(request) != kOk) {
       return;
+    }
     evbuffer* body = evhttp_request_get_input_buffer(request);
     std::string text(evbuffer_get_length(body), '\0');
     evbuffer_copyout(body, text.data(), text.size());
--- a/testing/sim/world.cc
+++ b/testing/sim/world.cc
@@ -357,7 +357,7 @@
   return id;
 }
 
-void world::AddLoad(load_options load) { NextLoadCall(load, 0); }
+void world::AddLoad(const load_options& load) { NextLoadCall(load, 0); }
 
 void world::NextLoadCall(const load_options& load, std::size_t turn) {
   if (queue_.Now() >= load.until) return;
--- a/testing/sim/world.h
+++ b/testing/sim/world.h
@@ -82,7 +82,7 @@
                          const std::string& organisation,
                          const std::string& key_digest,
                          const std::string& idempotency_key = "");
-  void AddLoad(load_options load);
+  void AddLoad(const load_options& load);
 
   // Lowest version in force at a running node; 0 if one has none.
   std::uint64_t LowestVersion() const;
--- a/testing/smoke/main.cc
+++ b/testing/smoke/main.cc
@@ -137,7 +137,9 @@
 
   void WriteFolder(const configuration& documents, const std::string& folder) {
     for (const auto& [name, bytes] : PartBytes(documents)) {
-      const auto written = cli::WriteFile(folder + "/" + name + ".json", bytes);
+      std::string path = folder;
+      path.append("/").append(name).append(".json");
+      const auto written = cli::WriteFile(path, bytes);
       Check(written.has_value(), "wrote " + name);
     }
     const auto vms = cli::WriteFile(folder + "/vms.json", documents.vms.dump());
