--- a/src/core/ingress.cc
+++ b/src/core/ingress.cc
@@ -1,11 +1,10 @@
 #include "core/ingress.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <string_view>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "core/http_status.h"
 
 // Order of checks for a new call: daemon state, key, route, contract, crash
@@ -24,9 +23,7 @@
 constexpr int kCounterBits = 64 - kIncarnationBits;
 
 std::uint64_t HashInto(std::uint64_t seed, std::string_view text) {
-  // xxhash asks for a pointer even where the size is 0.
-  return text.empty() ? XXH64("", 0, seed)
-                      : XXH64(text.data(), text.size(), seed);
+  return XXH64(text.data(), text.size(), seed);
 }
 
 std::uint64_t Fingerprint(const call_arrived& arrived,
