--- a/measure/fleet_measure/fleet_sizes.cc
+++ b/measure/fleet_measure/fleet_sizes.cc
@@ -156,6 +156,7 @@
 result MeasureFleetSizes(const context& c) {
   std::vector<int> sizes = {12, 50, 100, 200};
   if (c.quick) sizes = {12};
+  if (!c.processes.empty()) sizes = c.processes;
   for (const int size : sizes) {
     auto done = MeasureSize(c, size);
     if (!done) {
--- a/measure/fleet_measure/main.cc
+++ b/measure/fleet_measure/main.cc
@@ -48,6 +48,9 @@
                                     "suite", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed of the arrival times",
                                       false, 1, "number", line);
+  TCLAP::MultiArg<int> processes("", "processes",
+                                 "size of a fleet of the suite fleet_sizes",
+                                 false, "number", line);
   TCLAP::SwitchArg quick("", "quick", "small sizes and short runs", line);
   line.parse(argc, argv);
 
@@ -57,6 +60,7 @@
   c.programs = programs.getValue();
   c.examples = config.getValue();
   c.quick = quick.getValue();
+  c.processes = processes.getValue();
   c.seed = seed.getValue();
   c.rows = &rows;
   const std::vector<std::string>& names = only.getValue();
--- a/measure/fleet_measure/suite.h
+++ b/measure/fleet_measure/suite.h
@@ -17,9 +17,10 @@
 using result = testing::fleet_result<void>;
 
 struct context {
-  std::string programs;  // The build folder.
-  std::string examples;  // Configuration folder of today's deployment.
-  bool quick = false;    // Small sizes and short runs.
+  std::string programs;        // The build folder.
+  std::string examples;        // Configuration folder of today's deployment.
+  bool quick = false;          // Small sizes and short runs.
+  std::vector<int> processes;  // Sizes of `fleet_sizes`; empty: the usual.
   std::uint64_t seed = 1;
   row_list* rows = nullptr;
 };
