--- /dev/null
+++ b/include/pimentohall/mesh.h
@@ -0,0 +1,546 @@
+#ifndef PIMENTOHALL_MESH_H_
+#define PIMENTOHALL_MESH_H_
+
+// Library `mesh`: the decisions of a daemon that carries calls for a fleet
+// whose configuration and upstream list are published as plain values.
+//
+// Nothing here reads a clock, a socket, a file or global random state: times
+// and random numbers are passed in. Each class is one decision:
+//
+//   configuration   which route, service and tenant a call belongs to
+//   route_splitter  which part of a weighted route takes the next call
+//   directory       which upstreams exist, as last published
+//   peer_table      which daemons are alive, and what they last told
+//   allotment_table whether a tenant's rate over the whole fleet has room
+//   retry_budget    whether another attempt fits the service's budget
+//   target_picker   which upstream takes the next attempt
+//   work_queue      which call waiting for an upstream starts next
+//   warmup_gate     whether a cold upstream bears one more call
+//
+// Durations and instants are `core::duration` (microseconds) and
+// `core::instant` unless the name carries a unit. Functions without an error
+// type can't fail.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "pimentohall/core.h"
+
+namespace pimentohall::mesh {
+
+using core::duration;
+using core::instant;
+
+// ---------------------------------------------------------------------------
+// Configuration.
+
+struct route_part {
+  std::string service;
+  double weight = 1;
+  friend bool operator==(const route_part& a, const route_part& b);
+};
+
+struct route {
+  std::string name;
+  std::string host;         // Lower case, without port.
+  std::string path_prefix;  // Begins and ends with a slash.
+  std::vector<route_part> parts;
+  bool idempotent = false;
+  duration timeout{0};   // The longest time until the answer; 0: none.
+  duration aim{0};       // The answer is worth most within this time.
+  int max_attempts = 1;  // Upstreams that may get one caller's attempt.
+  int priority = 0;      // 0 goes first.
+  bool open = false;     // No key is needed.
+  std::vector<std::string> regions;  // Allowed ones; empty: all.
+  friend bool operator==(const route& a, const route& b);
+};
+
+struct service {
+  std::string name;
+  std::string health_path;
+  int max_connections = 100;
+  duration warmup{0};
+  double warmup_per_s = 0;  // Calls a second that a cold upstream bears.
+  friend bool operator==(const service& a, const service& b);
+};
+
+struct tenant {
+  std::string name;
+  std::vector<std::string> key_digests;  // SHA-256, lower-case hexadecimal.
+  std::optional<int> priority;           // Goes before the route's.
+  double rate_per_s = 0;                 // 0: no limit.
+  double burst = 0;
+  std::vector<std::string> regions;
+  friend bool operator==(const tenant& a, const tenant& b);
+};
+
+// What callers may send.
+struct caller_limits {
+  std::uint64_t header_bytes = 64 * 1024;
+  std::uint64_t body_bytes = 64 * 1024 * 1024;
+  duration header_time = std::chrono::seconds(10);
+  duration idle_time = std::chrono::seconds(60);
+  friend bool operator==(const caller_limits& a, const caller_limits& b);
+};
+
+struct configuration_parts {
+  std::uint64_t version = 0;
+  std::vector<route> routes;
+  std::vector<service> services;
+  std::vector<tenant> tenants;
+  caller_limits limits;
+  friend bool operator==(const configuration_parts& a,
+                         const configuration_parts& b);
+};
+
+// An immutable, checked configuration. Pointers that a look-up returns are
+// valid while the configuration lives.
+class configuration {
+ public:
+  // Reports every fault: names that stand twice, parts without a service or a
+  // weight, prefixes of another form, keys that two tenants share.
+  static tl::expected<std::shared_ptr<const configuration>, config::faults>
+  Build(configuration_parts parts);
+
+  std::uint64_t Version() const { return parts_.version; }
+  const configuration_parts& Parts() const { return parts_; }
+  // The route with the longest prefix that begins `path`, among those of
+  // `host`; null if there is none.
+  const route* FindRoute(std::string_view host, std::string_view path) const;
+  const service* FindService(std::string_view name) const;
+  const tenant* FindTenant(std::string_view name) const;
+  const tenant* FindTenantByKeyDigest(std::string_view digest) const;
+  bool HasTenants() const { return !parts_.tenants.empty(); }
+
+ private:
+  configuration_parts parts_;
+  // By host; longest prefix first.
+  std::unordered_map<std::string, std::vector<const route*>> by_host_;
+  std::unordered_map<std::string, const service*> services_;
+  std::unordered_map<std::string, const tenant*> tenants_;
+  std::unordered_map<std::string, const tenant*> by_key_;
+};
+
+// Deals the calls of weighted routes so that every run of calls keeps close to
+// the weights (smooth weighted round-robin).
+class route_splitter {
+ public:
+  explicit route_splitter(std::uint64_t seed) : seed_(seed) {}
+  const std::string& Pick(const route& from);
+
+ private:
+  struct state {
+    std::vector<route_part> parts;
+    std::vector<double> credit;
+  };
+  std::uint64_t seed_;
+  std::unordered_map<std::string, state> states_;
+};
+
+// ---------------------------------------------------------------------------
+// Upstreams, as published.
+
+struct upstream {
+  std::string id;  // One start of one upstream.
+  std::string service;
+  std::string address;  // The VM's IP number.
+  int port = 0;
+  std::string zone;
+  int slots = 1;
+  bool draining = false;
+  duration warmup_left{0};    // When the entry was read.
+  std::uint64_t born_ms = 0;  // Unix time of the start; 0: not told.
+  std::uint64_t revision = 0;
+  friend bool operator==(const upstream& a, const upstream& b);
+};
+
+// The upstreams that may get calls. An entry that disappears while the source
+// was away, or shortly after, is kept for a grace time: it may only have
+// lapsed.
+class directory {
+ public:
+  // How long a missing entry is kept after the source is back; the publishers'
+  // stated time.
+  static constexpr duration kReturnTime = std::chrono::milliseconds(2000);
+
+  struct entry {
+    upstream what;
+    instant read_at{};
+    std::optional<instant> missing_until;
+  };
+
+  void Put(const upstream& what, instant now);
+  // The entry was removed. With `may_have_lapsed`, it is kept for kReturnTime.
+  void Remove(const std::string& id, bool may_have_lapsed, instant now);
+  // The entry names no upstream any more.
+  void Drop(const std::string& id);
+  // Drops missing entries whose time is over; true if there were any.
+  bool Expire(instant now);
+  void SetZonesOut(std::set<std::string> zones) {
+    zones_out_ = std::move(zones);
+  }
+  const std::set<std::string>& ZonesOut() const { return zones_out_; }
+
+  const std::map<std::string, entry>& Entries() const { return entries_; }
+  // Entries of this service that may get calls: not draining, zone in service.
+  std::vector<const entry*> Usable(std::string_view service) const;
+  // The newest start at this address, or null.
+  const entry* FindByAddress(std::string_view address, int port) const;
+  // Addresses of all VMs that have an entry, sorted.
+  std::vector<std::string> Addresses() const;
+
+ private:
+  std::map<std::string, entry> entries_;
+  std::set<std::string> zones_out_;
+};
+
+// ---------------------------------------------------------------------------
+// News between daemons.
+
+// Load of an upstream as the daemon beside it sees it.
+struct load_news {
+  std::string upstream;
+  int running = 0;
+  int queued = 0;
+  int slots = 0;          // 0: takes no calls.
+  double backlog_ms = 0;  // Work that waits or runs, divided by the slots.
+  // Time of calls relative to the expectation for their routes; 1: as usual.
+  double slowness = 1;
+  friend bool operator==(const load_news& a, const load_news& b);
+};
+
+struct tenant_count {
+  std::uint32_t tenant = 0;    // Hash of the name.
+  std::uint64_t admitted = 0;  // Since the start of the daemon.
+  friend bool operator==(const tenant_count& a, const tenant_count& b);
+};
+
+// What a daemon tells all others several times a second. Each datagram stands
+// alone: a lost one is made good by the next.
+struct peer_news {
+  std::string address;  // Of the VM; names the daemon.
+  std::uint64_t boot = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t uptime_ms = 0;
+  bool stopping = false;
+  std::uint64_t heard_sequence = 0;  // The last news from the receiver.
+  std::uint64_t heard_boot = 0;
+  // Revisions of the newest change known, by area of the source.
+  std::uint64_t settings_revision = 0;
+  std::uint64_t upstreams_revision = 0;
+  std::optional<load_news> load;
+  std::vector<tenant_count> admitted;
+  std::vector<core::crash_report> crashes;
+  friend bool operator==(const peer_news& a, const peer_news& b);
+};
+
+// Largest datagram sent; fits one packet on usual links.
+inline constexpr std::size_t kMaxNewsBytes = 1400;
+std::string EncodeNews(const peer_news& news);
+// Rejects what `EncodeNews` can't have made.
+tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes);
+
+// Which daemons are alive.
+class peer_table {
+ public:
+  // Without news for this long a daemon counts as unreachable: four losses in
+  // a row at the usual period.
+  static constexpr duration kSilence = std::chrono::milliseconds(900);
+
+  struct peer {
+    std::string address;
+    std::uint64_t boot = 0;
+    std::uint64_t sequence = 0;
+    instant heard_at{};
+    instant echoed_at{};  // It had heard from us.
+    bool stopping = false;
+    std::uint64_t settings_revision = 0;
+    std::uint64_t upstreams_revision = 0;
+    std::uint64_t uptime_ms = 0;
+  };
+  enum class change { kStale, kUpdate, kNewBoot, kFirst, kBack };
+
+  explicit peer_table(std::string own_address, std::uint64_t own_boot)
+      : own_address_(std::move(own_address)), own_boot_(own_boot) {}
+
+  // Takes news over; kStale: older than what is known.
+  change OnNews(const peer_news& news, instant now);
+  // The daemon hears us and we hear it.
+  bool IsReachable(std::string_view address, instant now) const;
+  // Heard lately, whether or not it hears us.
+  bool IsHeard(std::string_view address, instant now) const;
+  const peer* Find(std::string_view address) const;
+  std::size_t CountHeard(instant now) const;
+  const std::map<std::string, peer, std::less<>>& Peers() const {
+    return peers_;
+  }
+  void Forget(instant now);
+
+ private:
+  std::string own_address_;
+  std::uint64_t own_boot_;
+  std::map<std::string, peer, std::less<>> peers_;
+};
+
+// ---------------------------------------------------------------------------
+// Allotments.
+
+std::uint32_t TenantHash(std::string_view name);
+
+// One rate for the whole fleet without shared state. Every daemon keeps a
+// bucket for the whole fleet: it refills at the tenant's rate, and what this
+// daemon admits and what the others tell to have admitted is taken from it.
+// The level may fall below zero by what was admitted before it was told; that
+// debt is paid back before anything else is admitted.
+//
+// Daemons that aren't heard may still admit. While some are missing the bucket
+// refills at this side's share, so that the sides of a partition together stay
+// near the rate.
+class allotment_table {
+ public:
+  // Share of the rate that the sides of a partition may exceed together; the
+  // published overshoot allows a quarter.
+  static constexpr double kPartitionExcess = 1.2;
+  // Part of the burst that a fresh daemon assumes to be left.
+  static constexpr double kStartLevel = 0.25;
+  // Debt is forgotten beyond this many seconds of the rate.
+  static constexpr double kMaxDebtS = 2.0;
+
+  explicit allotment_table(instant start) : start_(start) {}
+
+  void SetConfiguration(std::shared_ptr<const configuration> config,
+                        instant now);
+  // Admits a call of the tenant, or returns when to come back.
+  tl::expected<void, duration> Admit(const tenant& from, instant now);
+  // The call didn't reach an upstream.
+  void GiveBack(const tenant& from, instant now);
+  // `fleet` daemons exist, `heard` of them are in contact, this one included.
+  void SetFleet(std::size_t fleet, std::size_t heard, instant now);
+  void OnNews(const peer_news& news, bool is_first, instant now);
+  // Own counts that changed within the last `kNewsMemory`.
+  std::vector<tenant_count> News(instant now) const;
+  double Level(const std::string& tenant, instant now);
+
+ private:
+  static constexpr duration kNewsMemory = std::chrono::seconds(3);
+
+  struct bucket {
+    double rate_per_s = 0;
+    double burst = 0;
+    double level = 0;
+    instant filled_at{};
+    std::uint64_t admitted = 0;
+    instant admitted_at{};
+  };
+  struct peer_counts {
+    std::uint64_t boot = 0;
+    std::unordered_map<std::uint32_t, std::uint64_t> admitted;
+    bool baseline = false;  // Counts seen first are taken as past.
+  };
+  void Refill(bucket* at, instant now) const;
+
+  instant start_;
+  double share_ = 1;
+  std::unordered_map<std::uint32_t, bucket> buckets_;
+  std::unordered_map<std::string, peer_counts> peers_;
+};
+
+// ---------------------------------------------------------------------------
+// Retries.
+
+struct retry_limits {
+  double ratio = 0;  // Repeats for each call.
+  double slack = 0;  // Repeats in a window besides, over the fleet.
+  duration window{0};
+};
+
+// The fleet's budget of repeats for each service, spent without agreement: the
+// ratio counts this daemon's own calls, which sum up over the fleet, and the
+// slack is divided evenly.
+class retry_budget {
+ public:
+  // Part of the budget that is used: calls that a repeat makes count too and
+  // can't be told apart.
+  static constexpr double kUsedShare = 0.7;
+
+  explicit retry_budget(retry_limits limits) : limits_(limits) {}
+  void SetFleet(std::size_t daemons) {
+    daemons_ = std::max<std::size_t>(1, daemons);
+  }
+  void OnCall(const std::string& service, instant now);
+  // Takes a repeat if the budget has room.
+  bool TakeRepeat(const std::string& service, instant now);
+
+ private:
+  struct window_counts {
+    std::deque<instant> calls;
+    std::deque<instant> repeats;
+  };
+  void Expire(window_counts* at, instant now) const;
+
+  retry_limits limits_;
+  std::size_t daemons_ = 1;
+  std::unordered_map<std::string, window_counts> services_;
+};
+
+// ---------------------------------------------------------------------------
+// Choice of the upstream.
+
+// Ranks upstreams by when an answer may be expected: the load that the daemon
+// beside each told last, what was sent there since, its speed, and how often
+// it failed lately.
+class target_picker {
+ public:
+  explicit target_picker(std::uint64_t seed) : random_(seed | 1) {}
+
+  struct candidate {
+    std::string id;
+    int slots = 1;
+    bool is_near = false;  // In this daemon's zone.
+    bool is_cold = false;
+  };
+
+  void OnNews(const load_news& news, instant now);
+  void OnSent(const std::string& id);
+  // `failed`: the upstream, not the call, was at fault.
+  void OnDone(const std::string& id, bool failed, instant now);
+  // The daemon beside it refused: no call for a moment.
+  void OnRefused(const std::string& id, duration pause, instant now);
+  void Forget(const std::string& id) { states_.erase(id); }
+
+  // The index of the best candidate that isn't in `tried`, or none.
+  // `typical` is the usual time of the call at an upstream of usual speed.
+  std::optional<std::size_t> Pick(const std::vector<candidate>& candidates,
+                                  const std::vector<std::string>& tried,
+                                  duration typical, instant now);
+  // Expected time until the answer, in milliseconds; for logs and tests.
+  double ScoreMs(const candidate& of, duration typical, instant now) const;
+
+ private:
+  struct state {
+    load_news last;
+    instant told_at{};
+    int sent_since = 0;
+    double failure_share = 0;
+    instant failed_at{};
+    instant paused_until{};
+  };
+  double FailureShare(const state& of, instant now) const;
+  std::uint64_t Random();
+
+  std::uint64_t random_;
+  std::unordered_map<std::string, state> states_;
+};
+
+// Mean time of calls by key (a route), from those that were measured.
+class time_estimator {
+ public:
+  explicit time_estimator(duration initial) : initial_(initial) {}
+  void Observe(const std::string& key, duration took);
+  duration Expect(const std::string& key) const;
+  // Expect, or `fallback` if nothing was measured yet.
+  duration ExpectOr(const std::string& key, duration fallback) const;
+
+ private:
+  struct mean {
+    double ms = 0;
+    int count = 0;
+  };
+  duration initial_;
+  std::unordered_map<std::string, mean> means_;
+};
+
+// ---------------------------------------------------------------------------
+// The queue before an upstream.
+
+struct work_item {
+  std::uint64_t id = 0;
+  int rank = 0;         // 0 goes first; tenant before route.
+  bool nested = false;  // Made by a running call, which holds a slot meanwhile.
+  instant aim_at{};     // The answer is worth most until then.
+  instant deadline{};   // No answer is wanted after that.
+  duration expected{0};
+};
+
+// Why a call isn't taken, and when room may be expected.
+struct work_refusal {
+  core::reason why = core::reason::kQueueFull;
+  duration retry_after{0};
+};
+
+// Orders the calls that wait for one upstream. Calls that can still be answered
+// within their aim go first: nested ones, then by rank, then the earliest aim.
+// Calls that can't are started only when no other waits. Every
+// `kTurnOfOldest`-th start goes to the call that has waited longest, so that no
+// rank starves.
+class work_queue {
+ public:
+  static constexpr int kTurnOfOldest = 5;
+  // Calls that wait at most; beyond that a call is refused at once.
+  static constexpr std::size_t kMaxWaiting = 512;
+
+  // Refuses what can't end in time behind what waits and runs already.
+  // `running` is the expected rest of the running calls together.
+  tl::expected<void, work_refusal> Push(const work_item& item, int slots,
+                                        duration running, instant now);
+  // Removes and returns the call to start now; none if nothing waits that can
+  // still be answered in time.
+  std::optional<work_item> Pop(instant now);
+  bool Remove(std::uint64_t id);
+  // Removes calls that can't end before their deadline any more.
+  std::vector<work_item> Expire(instant now);
+  std::vector<work_item> Clear();
+  std::size_t Size() const { return items_.size(); }
+  duration Work() const;
+  // The earliest time at which `Expire` has something to do.
+  std::optional<instant> NextExpiry() const;
+
+ private:
+  duration WorkBefore(const work_item& item, instant now) const;
+  double OnTimeShare(int slots, instant now) const;
+  void NoteOnTime(const work_item& item, instant now);
+
+  std::vector<work_item> items_;  // In order of arrival.
+  int starts_ = 0;
+  // Work that was taken to be in time, decaying; seconds of slot time.
+  double on_time_work_s_ = 0;
+  instant on_time_at_{};
+};
+
+// ---------------------------------------------------------------------------
+// Cold upstreams.
+
+// Lets a cold upstream have no more calls in any second than it bears.
+class warmup_gate {
+ public:
+  // Calls that may start at once; the bound leaves more than this.
+  static constexpr double kBurst = 3;
+
+  void SetCold(instant until, double per_s, instant now);
+  bool IsCold(instant now) const { return now < cold_until_; }
+  instant ColdUntil() const { return cold_until_; }
+  bool Take(instant now);
+  // When the next call may start.
+  instant NextAt(instant now) const;
+
+ private:
+  void Refill(instant now);
+  instant cold_until_{};
+  double per_s_ = 0;
+  double level_ = 0;
+  instant filled_at_{};
+};
+
+}  // namespace pimentohall::mesh
+
+#endif  // PIMENTOHALL_MESH_H_
--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -121,6 +121,29 @@
 // Writes one JSON line to standard error: time, level, message, fields.
 void Log(core::log_level level, std::string_view message,
          const std::vector<std::pair<std::string, std::string>>& fields = {});
+// While one exists, log lines go to standard output instead of standard error,
+// through a bounded buffer that is written without blocking: a reader that
+// stops reading costs lines, not time. Warnings and errors are kept when lines
+// come faster than `lines_per_s`. What was dropped is told, by message, once
+// there is room again.
+struct log_stream_options {
+  std::size_t buffer_bytes = 256 * 1024;
+  double lines_per_s = 400;
+  core::duration flush_period = std::chrono::milliseconds(100);
+};
+class log_stream {
+ public:
+  log_stream(event_loop& loop, timer_service& timers,
+             log_stream_options options);
+  ~log_stream();
+  log_stream(const log_stream&) = delete;
+  log_stream& operator=(const log_stream&) = delete;
+  std::uint64_t Dropped() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
 // Records below `level` are dropped. The default is kInfo.
 void SetLogLevel(core::log_level level);
 // The line that `Log` writes, without the line feed. Bytes that are not UTF-8
@@ -333,8 +356,11 @@
 
   // At most `connections_per_target` connections are open to one target; a
   // request beyond that fails with kNotSent.
+  // An answer with a longer body than `max_answer_bytes` counts as lost.
+  static constexpr std::int64_t kUsualAnswerBytes = 1024 * 1024;
   http_client(event_loop& loop, timer_service& timers,
-              int connections_per_target = 100);
+              int connections_per_target = 100,
+              std::int64_t max_answer_bytes = kUsualAnswerBytes);
   ~http_client();
 
   // `done` is called once, never from inside `Start`, unless the request is
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -2,10 +2,13 @@
 //
 //   pimentohalld --settings FILE        runs until stopped
 //   pimentohalld --check-settings FILE  prints every fault and exits
+//   pimentohalld --platform             runs on the users' platform, which says
+//                                       where the settings are
 //
 // Signals: SIGTERM and SIGINT begin a planned stop, SIGHUP reloads the
-// certificates. Exit status: 0 after a planned stop or good settings, 1 if a
-// port or a certificate can't be used, 2 for bad settings or arguments.
+// certificates, or the settings on the users' platform. Exit status: 0 after a
+// planned stop or good settings, 1 if a port or a certificate can't be used, 2
+// for bad settings or arguments.
 
 #include <tclap/CmdLine.h>
 
@@ -14,6 +17,8 @@
 #include <random>
 
 #include "pimentohall/net.h"
+#include "pimentohall/node.h"
+#include "platform/platform.h"
 
 namespace pimentohall {
 namespace {
@@ -88,9 +93,48 @@
   return 0;
 }
 
+void ReloadNode(node::node* daemon, const std::string& path) {
+  const auto settings = platform::LoadSettings(path);
+  if (settings) {
+    daemon->Reload(*settings);
+    return;
+  }
+  for (const config::fault& fault : settings.error()) {
+    net::Log(core::log_level::kError, "settings not reloaded",
+             {{"fault", fault.ToString()}});
+  }
+}
+
+int RunOnPlatform() {
+  const auto path = platform::SettingsPath();
+  if (!path) {
+    std::fprintf(stderr, "%s\n", path.error().c_str());
+    return kExitBadSettings;
+  }
+  const auto settings = platform::LoadSettings(*path);
+  if (!settings) return PrintFaults(settings.error());
+  net::event_loop loop;
+  net::timer_service timers(loop);
+  const net::log_stream log(loop, timers, {});
+  node::node daemon(loop, timers, *settings,
+                    platform::MakeAdapter(loop, timers, settings->source));
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    loop.OnSignal(signal_number, [&daemon] { daemon.BeginStop(); });
+  }
+  loop.OnSignal(SIGHUP, [&] { ReloadNode(&daemon, *path); });
+  if (const auto started = daemon.Start(); !started) {
+    net::Log(core::log_level::kError, "can't start",
+             {{"problem", started.error()}});
+    return kExitFailed;
+  }
+  loop.Run();
+  return 0;
+}
+
 struct arguments {
   std::string settings;
   bool check_only = false;
+  bool on_platform = false;
 };
 
 // TCLAP reports faults by exceptions; they end here.
@@ -104,8 +148,12 @@
     TCLAP::ValueArg<std::string> check("c", "check-settings",
                                        "Checks these settings and exits", true,
                                        "", "FILE");
-    line.xorAdd(run, check);
+    TCLAP::SwitchArg on_platform("p", "platform",
+                                 "Runs on the users' platform");
+    std::vector<TCLAP::Arg*> modes = {&run, &check, &on_platform};
+    line.xorAdd(modes);
     line.parse(argc, argv);
+    if (on_platform.isSet()) return arguments{"", false, true};
     if (check.isSet()) return arguments{check.getValue(), true};
     return arguments{run.getValue(), false};
   } catch (const TCLAP::ArgException& problem) {
@@ -121,6 +169,7 @@
     std::fprintf(stderr, "%s\n", given.error().c_str());
     return kExitBadSettings;
   }
+  if (given->on_platform) return RunOnPlatform();
   const auto settings = net::LoadSettings(given->settings);
   if (!settings) return PrintFaults(settings.error());
   if (given->check_only) {
--- /dev/null
+++ b/src/mesh/target_picker.cc
@@ -0,0 +1,121 @@
+#include <algorithm>
+#include <cmath>
+
+#include "pimentohall/mesh.h"
+
+namespace pimentohall::mesh {
+namespace {
+
+// Weight of the newest outcome in the share of failures.
+constexpr double kFailureWeight = 0.15;
+// An upstream's failures are forgotten by half in this time, so that it is
+// tried again.
+constexpr double kFailureHalfLifeS = 2.0;
+// A failure costs the caller about this many usual call times.
+constexpr double kFailureCost = 6;
+// Crossing zones costs this much of the score; ties go to the near zone.
+constexpr double kFarMs = 3;
+// Candidates within this share of the best are equal; one is drawn.
+constexpr double kTieShare = 0.08;
+// A cold upstream is slow.
+constexpr double kColdFactor = 2;
+// Upstreams slow down when nearly full; spread calls before that.
+constexpr double kCrowding = 0.35;
+
+}  // namespace
+
+std::uint64_t target_picker::Random() {
+  random_ ^= random_ << 13;
+  random_ ^= random_ >> 7;
+  random_ ^= random_ << 17;
+  return random_;
+}
+
+void target_picker::OnNews(const load_news& news, instant now) {
+  state& at = states_[news.upstream];
+  at.last = news;
+  at.told_at = now;
+  at.sent_since = 0;
+}
+
+void target_picker::OnSent(const std::string& id) { ++states_[id].sent_since; }
+
+void target_picker::OnDone(const std::string& id, bool failed, instant now) {
+  state& at = states_[id];
+  at.failure_share = FailureShare(at, now) * (1 - kFailureWeight) +
+                     (failed ? kFailureWeight : 0);
+  at.failed_at = now;
+}
+
+void target_picker::OnRefused(const std::string& id, duration pause,
+                              instant now) {
+  state& at = states_[id];
+  at.paused_until = std::max(at.paused_until, now + pause);
+}
+
+double target_picker::FailureShare(const state& of, instant now) const {
+  const std::chrono::duration<double> age = now - of.failed_at;
+  return of.failure_share * std::exp2(-age.count() / kFailureHalfLifeS);
+}
+
+double target_picker::ScoreMs(const candidate& of, duration typical,
+                              instant now) const {
+  const double typical_ms =
+      std::chrono::duration<double, std::milli>(typical).count();
+  const auto found = states_.find(of.id);
+  const state unknown;
+  const state& at = found == states_.end() ? unknown : found->second;
+  const double slots =
+      std::max(1, at.last.slots > 0 ? at.last.slots : of.slots);
+  double call_ms = typical_ms * std::max(0.1, at.last.slowness);
+  if (of.is_cold) call_ms *= kColdFactor;
+  const double taken = at.last.running + at.last.queued + at.sent_since;
+  const double over = std::max(0.0, taken + 1 - slots);
+  const double wait_ms =
+      over > 0 ? std::max(at.last.backlog_ms, over / slots * call_ms) : 0;
+  const double crowded = std::min(1.0, taken / slots);
+  return wait_ms + call_ms * (1 + kCrowding * crowded * crowded) +
+         kFailureCost * typical_ms * FailureShare(at, now) +
+         (of.is_near ? 0 : kFarMs);
+}
+
+std::optional<std::size_t> target_picker::Pick(
+    const std::vector<candidate>& candidates,
+    const std::vector<std::string>& tried, duration typical, instant now) {
+  std::vector<std::pair<double, std::size_t>> scored;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const std::string& id = candidates[i].id;
+    if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
+    const auto found = states_.find(id);
+    if (found != states_.end() && found->second.paused_until > now) continue;
+    scored.emplace_back(ScoreMs(candidates[i], typical, now), i);
+  }
+  if (scored.empty()) return std::nullopt;
+  std::sort(scored.begin(), scored.end());
+  const double tie = scored.front().first * (1 + kTieShare);
+  std::size_t equal = 1;
+  while (equal < scored.size() && scored[equal].first <= tie) ++equal;
+  return scored[Random() % equal].second;
+}
+
+void time_estimator::Observe(const std::string& key, duration took) {
+  constexpr int kWeightAfter = 20;  // Calls; a running mean before that.
+  mean& at = means_[key];
+  at.count = std::min(at.count + 1, kWeightAfter);
+  const double ms = std::chrono::duration<double, std::milli>(took).count();
+  at.ms += (ms - at.ms) / at.count;
+}
+
+duration time_estimator::Expect(const std::string& key) const {
+  return ExpectOr(key, initial_);
+}
+
+duration time_estimator::ExpectOr(const std::string& key,
+                                  duration fallback) const {
+  const auto found = means_.find(key);
+  if (found == means_.end() || found->second.count == 0) return fallback;
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(found->second.ms));
+}
+
+}  // namespace pimentohall::mesh
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -41,7 +41,6 @@
 // Longer than any deadline, so that evhttp's own timeouts never decide.
 constexpr int kNeverSeconds = 3600;
 constexpr ev_ssize_t kMaxAnswerHeaderBytes = 16 * 1024;
-constexpr ev_ssize_t kMaxAnswerBodyBytes = 1024 * 1024;
 
 std::optional<evhttp_cmd_type> MethodType(const std::string& name) {
   static const std::unordered_map<std::string, evhttp_cmd_type> kTypes = {
@@ -101,10 +100,12 @@
 
 class http_client::impl {
  public:
-  impl(event_loop& loop, timer_service& timers, int connections_per_target)
+  impl(event_loop& loop, timer_service& timers, int connections_per_target,
+       std::int64_t max_answer_bytes)
       : loop_(loop),
         timers_(timers),
-        connections_per_target_(connections_per_target) {
+        connections_per_target_(connections_per_target),
+        max_answer_bytes_(max_answer_bytes) {
     bury_ = event_ptr(evtimer_new(
         loop.Base(),
         [](evutil_socket_t, short, void* self) {
@@ -197,7 +198,7 @@
     evhttp_connection_set_timeout(conn->http.get(), kNeverSeconds);
     evhttp_connection_set_max_headers_size(conn->http.get(),
                                            kMaxAnswerHeaderBytes);
-    evhttp_connection_set_max_body_size(conn->http.get(), kMaxAnswerBodyBytes);
+    evhttp_connection_set_max_body_size(conn->http.get(), max_answer_bytes_);
     bufferevent* stream = evhttp_connection_get_bufferevent(conn->http.get());
     evbuffer_add_cb(bufferevent_get_output(stream), &CountWritten, conn.get());
     return conn;
@@ -343,6 +344,7 @@
   event_loop& loop_;
   timer_service& timers_;
   const int connections_per_target_;
+  const std::int64_t max_answer_bytes_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   event_ptr bury_;
   request_id last_id_ = 0;
@@ -354,8 +356,10 @@
 };
 
 http_client::http_client(event_loop& loop, timer_service& timers,
-                         int connections_per_target)
-    : impl_(std::make_unique<impl>(loop, timers, connections_per_target)) {}
+                         int connections_per_target,
+                         std::int64_t max_answer_bytes)
+    : impl_(std::make_unique<impl>(loop, timers, connections_per_target,
+                                   max_answer_bytes)) {}
 http_client::~http_client() = default;
 
 http_client::request_id http_client::Start(const http_request& request,
--- /dev/null
+++ b/src/node/call_header.h
@@ -0,0 +1,67 @@
+#ifndef PIMENTOHALL_NODE_CALL_HEADER_H_
+#define PIMENTOHALL_NODE_CALL_HEADER_H_
+
+// The two headers that daemons add to calls between each other, as JSON on one
+// line. They never leave the fleet.
+
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "pimentohall/mesh.h"
+#include "pimentohall/net.h"
+
+namespace pimentohall::node {
+
+// Milliseconds on the wire between daemons.
+using duration_ms = double;
+
+inline constexpr char kCallHeader[] = "X-Pimentohall-Call";
+inline constexpr char kOutcomeHeader[] = "X-Pimentohall-Outcome";
+
+// What the egress needs to know of a forwarded call.
+struct call_header {
+  std::string attempt;    // Unique over all daemons and starts.
+  std::string caller_id;  // The caller's id of its attempt.
+  std::string service;
+  std::string upstream;
+  std::string route;
+  std::string tenant;
+  std::string caller_service;
+  int rank = 0;
+  bool nested = false;
+  bool idempotent = false;
+  duration_ms budget_ms = 0;
+  duration_ms aim_ms = 0;      // Rest of the aim; may be negative.
+  duration_ms typical_ms = 0;  // Usual time of the call in the fleet.
+  std::uint64_t config_version = 0;
+};
+
+enum class outcome {
+  kAnswered,    // The upstream's own answer follows.
+  kShed,        // The upstream got the call and refused it: not run.
+  kNotRun,      // No byte of the call reached an upstream.
+  kMayHaveRun,  // The upstream got the call; its fate is unknown.
+};
+
+struct outcome_header {
+  outcome what = outcome::kMayHaveRun;
+  core::reason why = core::reason::kNone;
+  duration_ms retry_after_ms = 0;  // With kNotRun.
+  duration_ms took_ms = 0;         // With kAnswered: time at the upstream.
+  duration_ms waited_ms = 0;       // Time in the queue.
+  mesh::load_news load;
+};
+
+// Removes both headers: a caller or an upstream must not speak as a daemon.
+void DropFleetHeaders(net::header_list* headers);
+
+std::string EncodeCall(const call_header& call);
+tl::expected<call_header, std::string> DecodeCall(std::string_view text);
+std::string EncodeOutcome(const outcome_header& outcome);
+tl::expected<outcome_header, std::string> DecodeOutcome(std::string_view text);
+const char* OutcomeName(outcome what);
+
+}  // namespace pimentohall::node
+
+#endif  // PIMENTOHALL_NODE_CALL_HEADER_H_
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,493 @@
+// Wires the parts of a daemon together and keeps its beliefs.
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "node/egress.h"
+#include "node/fleet_state.h"
+#include "node/ingress.h"
+#include "node/news_service.h"
+#include "node/source_mirror.h"
+
+namespace pimentohall::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+// News go to every other daemon this often, in a fleet of up to
+// kFastNewsPeers; beyond that the period grows so that a daemon sends about
+// the same number of datagrams a second.
+constexpr duration kNewsPeriod = milliseconds(200);
+constexpr std::size_t kFastNewsPeers = 20;
+constexpr duration kUpkeepPeriod = milliseconds(100);
+// A peer that knows more is asked if the source hasn't told within this time.
+constexpr duration kMirrorPatience = milliseconds(250);
+constexpr duration kMirrorTimeout = milliseconds(800);
+constexpr std::int64_t kMaxMirrorBytes = 8 * 1024 * 1024;
+// A planned stop: callers see the missing readiness within this time, then the
+// daemon's upstream is handed over and the process ends.
+constexpr duration kLeaveTime = milliseconds(2300);
+constexpr duration kHandOverTime = milliseconds(400);
+// Kept of the grace time for the process's own end.
+constexpr duration kGraceMargin = milliseconds(400);
+constexpr duration kStopPoll = milliseconds(50);
+
+std::uint64_t RandomNumber() {
+  std::random_device source;
+  return std::uniform_int_distribution<std::uint64_t>()(source);
+}
+
+}  // namespace
+
+class node::impl {
+ public:
+  impl(net::event_loop& loop, net::timer_service& timers,
+       node_settings settings, adapter with)
+      : adapter_(std::move(with)),
+        fleet_(loop, timers, std::move(settings), *adapter_.dialect,
+               RandomNumber()),
+        ingress_(fleet_),
+        egress_(fleet_),
+        mirror_(fleet_, *adapter_.reader),
+        news_(fleet_),
+        peer_reads_(loop, timers, 1, kMaxMirrorBytes),
+        ready_(loop, fleet_.settings.ready),
+        admin_(loop, fleet_.settings.admin) {
+    mirror_.on_item = [this](source_area area, const source_item& item,
+                             bool after_outage) {
+      OnItem(area, item, after_outage);
+    };
+    mirror_.on_settled = [this](source_area) { OnSettled(); };
+    news_.on_news = [this](mesh::peer_news news) { OnNews(std::move(news)); };
+    egress_.on_mirror_asked = [this] { return mirror_.Export(); };
+  }
+
+  ~impl() {
+    upkeep_timer_.disconnect();
+    news_timer_.disconnect();
+    stop_timer_.disconnect();
+  }
+
+  tl::expected<void, std::string> Start() {
+    AddPages();
+    if (auto open = news_.Open(); !open) return open;
+    for (const auto& listening : {egress_.Listen(), ready_.Listen(),
+                                  admin_.Listen(), ingress_.Listen()}) {
+      if (!listening) return tl::unexpected(listening.error());
+    }
+    mirror_.Start();
+    upkeep_timer_ = fleet_.timers.Every(
+        kUpkeepPeriod, sigc::slot<void()>([this] { Upkeep(); }));
+    ScheduleNews();
+    net::Log(
+        core::log_level::kInfo, "started",
+        {{"node", fleet_.settings.name},
+         {"version", net::VersionText()},
+         {"boot", std::to_string(fleet_.boot)},
+         {"zone", fleet_.settings.zone},
+         {"service", fleet_.settings.caller_service},
+         {"level", std::to_string(static_cast<int>(fleet_.settings.level))}});
+    return {};
+  }
+
+  void BeginStop() {
+    if (fleet_.stopping) return;
+    fleet_.stopping = true;
+    stop_began_ = fleet_.loop.Now();
+    net::Log(core::log_level::kInfo, "stop began",
+             {{"pending", std::to_string(ingress_.Pending())},
+              {"running", std::to_string(egress_.Running())}});
+    ingress_.BeginStop();
+    stop_timer_ = fleet_.timers.Every(
+        kStopPoll, sigc::slot<void()>([this] { StopStep(); }));
+  }
+
+  void Reload(const node_settings& settings) {
+    net::Log(core::log_level::kInfo, "settings reloaded",
+             {{"service", settings.caller_service},
+              {"before", fleet_.settings.caller_service}});
+    fleet_.settings.caller_service = settings.caller_service;
+    fleet_.settings.zone_regions = settings.zone_regions;
+    fleet_.settings.upstream = settings.upstream;
+    fleet_.settings.grace = settings.grace;
+    egress_.OnDirectory();
+  }
+
+ private:
+  // -------------------------------------------------------------------------
+  // The source.
+
+  void OnItem(source_area, const source_item& item, bool after_outage) {
+    const instant now = fleet_.loop.Now();
+    if (item.removed) {
+      OnRemoved(item, after_outage);
+      return;
+    }
+    const item_meaning meaning = adapter_.decoder->Decode(item);
+    if (const auto* parts = std::get_if<mesh::configuration_parts>(&meaning)) {
+      OnConfiguration(*parts, item);
+    } else if (const auto* upstream = std::get_if<mesh::upstream>(&meaning)) {
+      fleet_.directory.Put(*upstream, now);
+      fleet_.directory_at = now;
+      directory_changed_ = true;
+    } else if (const auto* out = std::get_if<zone_out>(&meaning)) {
+      zones_out_.insert(out->zone);
+      directory_changed_ = true;
+      net::Log(
+          core::log_level::kInfo, "zone taken out",
+          {{"zone", out->zone}, {"revision", std::to_string(item.revision)}});
+    } else if (const auto* bad = std::get_if<unreadable_item>(&meaning)) {
+      OnUnreadable(item, bad->reason);
+    }
+  }
+
+  void OnRemoved(const source_item& item, bool after_outage) {
+    const instant now = fleet_.loop.Now();
+    const std::string upstream = adapter_.decoder->UpstreamOfKey(item.key);
+    if (!upstream.empty()) {
+      fleet_.directory.Remove(upstream, after_outage, now);
+      fleet_.directory_at = now;
+      directory_changed_ = true;
+      net::Log(core::log_level::kInfo, "upstream entry removed",
+               {{"upstream", upstream},
+                {"revision", std::to_string(item.revision)},
+                {"after_outage", after_outage ? "yes" : "no"}});
+      return;
+    }
+    const item_meaning meaning = adapter_.decoder->Decode(item);
+    if (const auto* out = std::get_if<zone_out>(&meaning)) {
+      zones_out_.erase(out->zone);
+      directory_changed_ = true;
+      net::Log(
+          core::log_level::kInfo, "zone taken back",
+          {{"zone", out->zone}, {"revision", std::to_string(item.revision)}});
+    }
+  }
+
+  void OnUnreadable(const source_item& item, const std::string& reason) {
+    net::Log(core::log_level::kWarning, "item of the source is unreadable",
+             {{"key", item.key},
+              {"revision", std::to_string(item.revision)},
+              {"reason", reason}});
+    const std::string upstream = adapter_.decoder->UpstreamOfKey(item.key);
+    if (upstream.empty()) return;
+    fleet_.directory.Drop(upstream);
+    directory_changed_ = true;
+  }
+
+  void OnConfiguration(const mesh::configuration_parts& parts,
+                       const source_item& item) {
+    const std::uint64_t held = fleet_.config ? fleet_.config->Version() : 0;
+    if (parts.version <= held) {
+      net::Log(core::log_level::kWarning, "older configuration ignored",
+               {{"version", std::to_string(parts.version)},
+                {"in_force", std::to_string(held)},
+                {"revision", std::to_string(item.revision)}});
+      return;
+    }
+    auto built = mesh::configuration::Build(parts);
+    if (!built) {
+      net::Log(core::log_level::kError, "configuration refused",
+               {{"version", std::to_string(parts.version)},
+                {"in_force", std::to_string(held)},
+                {"fault", built.error().front().ToString()},
+                {"faults", std::to_string(built.error().size())}});
+      return;
+    }
+    const instant now = fleet_.loop.Now();
+    fleet_.config = *built;
+    fleet_.config_at = now;
+    fleet_.allotments.SetConfiguration(fleet_.config, now);
+    ingress_.OnConfiguration();
+    directory_changed_ = true;
+    net::Log(core::log_level::kInfo, "configuration in force",
+             {{"version", std::to_string(parts.version)},
+              {"before", std::to_string(held)},
+              {"revision", std::to_string(item.revision)},
+              {"routes", std::to_string(parts.routes.size())},
+              {"tenants", std::to_string(parts.tenants.size())}});
+  }
+
+  void OnSettled() {
+    if (!directory_changed_) return;
+    directory_changed_ = false;
+    fleet_.directory.SetZonesOut(zones_out_);
+    fleet_.retries.SetFleet(fleet_.directory.Addresses().size());
+    egress_.OnDirectory();
+  }
+
+  // -------------------------------------------------------------------------
+  // Peers.
+
+  mesh::peer_news NewsFor(const mesh::peer_table::peer* to) {
+    const instant now = fleet_.loop.Now();
+    mesh::peer_news news;
+    news.address = fleet_.settings.peers.address;
+    news.boot = fleet_.boot;
+    news.sequence = ++news_sequence_;
+    news.uptime_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(now - fleet_.started_at)
+            .count());
+    news.stopping = handing_over_;
+    if (to != nullptr) {
+      // Only what was heard lately shows that the way to us works.
+      if (fleet_.peers.IsHeard(to->address, now)) {
+        news.heard_boot = to->boot;
+        news.heard_sequence = to->sequence;
+      }
+    }
+    news.settings_revision = mirror_.ChangeRevision(source_area::kSettings);
+    news.upstreams_revision = mirror_.ChangeRevision(source_area::kUpstreams);
+    news.load = egress_.Load();
+    news.admitted = fleet_.allotments.News(now);
+    news.crashes = egress_.CrashNews();
+    return news;
+  }
+
+  std::vector<std::string> PeerAddresses() const {
+    std::set<std::string> addresses;
+    for (const std::string& each : fleet_.directory.Addresses()) {
+      addresses.insert(each);
+    }
+    for (const auto& [address, peer] : fleet_.peers.Peers()) {
+      addresses.insert(address);
+    }
+    addresses.erase(fleet_.settings.peers.address);
+    return {addresses.begin(), addresses.end()};
+  }
+
+  void ScheduleNews() {
+    const std::size_t peers = fleet_.directory.Addresses().size();
+    duration period = kNewsPeriod;
+    if (peers > kFastNewsPeers) {
+      period = kNewsPeriod * static_cast<int>(peers) /
+               static_cast<int>(kFastNewsPeers);
+    }
+    news_timer_ = fleet_.timers.After(period, sigc::slot<void()>([this] {
+                                        SendNews();
+                                        ScheduleNews();
+                                      }));
+  }
+
+  void SendNews() {
+    for (const std::string& address : PeerAddresses()) {
+      news_.Send(address, NewsFor(fleet_.peers.Find(address)));
+    }
+  }
+
+  void OnNews(mesh::peer_news news) {
+    if (news.address == fleet_.settings.peers.address) return;
+    const instant now = fleet_.loop.Now();
+    const auto what = fleet_.peers.OnNews(news, now);
+    if (what == mesh::peer_table::change::kStale) return;
+    if (what != mesh::peer_table::change::kUpdate) {
+      lost_peers_.erase(news.address);
+      net::Log(core::log_level::kInfo, "peer heard",
+               {{"peer", news.address},
+                {"boot", std::to_string(news.boot)},
+                {"uptime_ms", std::to_string(news.uptime_ms)}});
+    }
+    if (what == mesh::peer_table::change::kNewBoot) {
+      ingress_.OnPeerRestarted(news.address);
+    }
+    const bool is_first = what == mesh::peer_table::change::kFirst;
+    fleet_.allotments.OnNews(news, is_first, now);
+    if (news.load) fleet_.picker.OnNews(*news.load, now);
+    for (const core::crash_report& report : news.crashes) {
+      egress_.OnCrashNews(report);
+    }
+  }
+
+  // A peer that knows more than this daemon's own copy, or empty.
+  std::string FindAheadPeer(instant now) const {
+    for (const auto& [address, peer] : fleet_.peers.Peers()) {
+      if (now - peer.heard_at > mesh::peer_table::kSilence) continue;
+      const bool ahead = peer.settings_revision >
+                             mirror_.ChangeRevision(source_area::kSettings) ||
+                         peer.upstreams_revision >
+                             mirror_.ChangeRevision(source_area::kUpstreams);
+      if (ahead) return address;
+    }
+    return {};
+  }
+
+  void FollowPeers(instant now) {
+    const std::string ahead = FindAheadPeer(now);
+    if (ahead.empty()) {
+      behind_since_.reset();
+      return;
+    }
+    if (!behind_since_) behind_since_ = now;
+    if (now - *behind_since_ < kMirrorPatience || reading_peer_) return;
+    for (const source_area area : kSourceAreas) mirror_.Nudge(area);
+    reading_peer_ = true;
+    net::http_request request;
+    request.target = fleet_.PeerEndpoint(ahead);
+    request.path = "/pimentohall/mirror";
+    request.timeout = kMirrorTimeout;
+    peer_reads_.Start(
+        request,
+        [this](
+            const tl::expected<net::http_answer, net::http_failure>& answer) {
+          reading_peer_ = false;
+          behind_since_.reset();
+          if (answer && answer->status == 200 && answer->body) {
+            mirror_.Import(*answer->body);
+          }
+        });
+  }
+
+  // -------------------------------------------------------------------------
+  // Upkeep.
+
+  void Upkeep() {
+    const instant now = fleet_.loop.Now();
+    if (fleet_.directory.Expire(now)) {
+      directory_changed_ = true;
+      OnSettled();
+    }
+    for (const auto& [address, peer] : fleet_.peers.Peers()) {
+      const bool lost = now - peer.heard_at > mesh::peer_table::kSilence;
+      if (lost && lost_peers_.insert(address).second) {
+        net::Log(
+            core::log_level::kWarning, "peer lost",
+            {{"peer", address}, {"silent_ms", MsText(now - peer.heard_at)}});
+      }
+    }
+    fleet_.peers.Forget(now);
+    const std::size_t fleet = fleet_.directory.Addresses().size();
+    fleet_.allotments.SetFleet(fleet, fleet_.peers.CountHeard(now) + 1, now);
+    FollowPeers(now);
+  }
+
+  bool IsReady() const { return fleet_.config != nullptr && !fleet_.stopping; }
+
+  void StopStep() {
+    const instant now = fleet_.loop.Now();
+    const duration age = now - stop_began_;
+    if (!handing_over_ && age >= kLeaveTime) {
+      handing_over_ = true;
+      handed_over_at_ = now;
+      egress_.BeginStop();
+      ingress_.StopListening();
+      SendNews();
+    }
+    const bool idle = handing_over_ && ingress_.Pending() == 0 &&
+                      egress_.IsIdle() &&
+                      now - handed_over_at_ >= kHandOverTime;
+    if (!idle && age < fleet_.settings.grace - kGraceMargin) return;
+    net::Log(core::log_level::kInfo, "stopped",
+             {{"pending", std::to_string(ingress_.Pending())},
+              {"running", std::to_string(egress_.Running())},
+              {"after_ms", MsText(age)}});
+    stop_timer_.disconnect();
+    fleet_.loop.Stop();
+  }
+
+  // -------------------------------------------------------------------------
+  // Pages.
+
+  static net::http_answer Page(int status, const char* type, std::string text) {
+    return {status, {{"Content-Type", type}}, net::ShareBytes(std::move(text))};
+  }
+
+  void AddPages() {
+    ready_.AddPage(fleet_.settings.ready_path, [this](const net::page_query&) {
+      return IsReady() ? Page(200, "text/plain", "ready\n")
+                       : Page(503, "text/plain", "not ready\n");
+    });
+    admin_.AddPage("/metrics", [this](const net::page_query&) {
+      return Page(200, "text/plain; version=0.0.4", Metrics());
+    });
+    admin_.AddPage("/state", [this](const net::page_query&) {
+      return Page(200, "application/json", State());
+    });
+  }
+
+  std::string Metrics() {
+    const instant now = fleet_.loop.Now();
+    node_metrics::gauges gauges;
+    gauges.ready = IsReady();
+    gauges.config_version = fleet_.config ? fleet_.config->Version() : 0;
+    gauges.config_age_s =
+        std::chrono::duration<double>(now - fleet_.config_at).count();
+    gauges.source_age_s =
+        std::chrono::duration<double>(now - mirror_.AnsweredAt()).count();
+    gauges.peers = fleet_.peers.CountHeard(now);
+    gauges.running = egress_.Running();
+    gauges.queued = egress_.Queued();
+    return fleet_.metrics.Render(gauges);
+  }
+
+  // The daemon's beliefs as JSON, without keys.
+  std::string State() {
+    const instant now = fleet_.loop.Now();
+    nlohmann::ordered_json state;
+    state["node"] = fleet_.settings.name;
+    state["boot"] = fleet_.boot;
+    state["ready"] = IsReady();
+    state["config_version"] = fleet_.config ? fleet_.config->Version() : 0;
+    state["zones_out"] = zones_out_;
+    for (const auto& [id, entry] : fleet_.directory.Entries()) {
+      state["upstreams"][id] = {
+          {"service", entry.what.service},
+          {"address", entry.what.address},
+          {"zone", entry.what.zone},
+          {"draining", entry.what.draining},
+          {"revision", entry.what.revision},
+          {"missing", entry.missing_until.has_value()},
+          {"reachable", fleet_.peers.IsReachable(entry.what.address, now)}};
+    }
+    for (const auto& [address, peer] : fleet_.peers.Peers()) {
+      state["peers"][address] = {{"boot", peer.boot},
+                                 {"silent_ms", MsText(now - peer.heard_at)},
+                                 {"stopping", peer.stopping}};
+    }
+    if (fleet_.config) {
+      for (const mesh::tenant& each : fleet_.config->Parts().tenants) {
+        state["allotments"][each.name] =
+            fleet_.allotments.Level(each.name, now);
+      }
+    }
+    state["running"] = egress_.Running();
+    state["queued"] = egress_.Queued();
+    return state.dump(1);
+  }
+
+  adapter adapter_;
+  fleet_state fleet_;
+  std::set<std::string> zones_out_;
+  bool directory_changed_ = false;
+  std::uint64_t news_sequence_ = 0;
+  std::set<std::string> lost_peers_;
+  std::optional<instant> behind_since_;
+  bool reading_peer_ = false;
+  instant stop_began_{};
+  instant handed_over_at_{};
+  bool handing_over_ = false;  // Other daemons send no more calls here.
+  sigc::connection upkeep_timer_;
+  sigc::connection news_timer_;
+  sigc::connection stop_timer_;
+
+  // Last, so that they go first: their handlers refer to the rest.
+  ingress ingress_;
+  egress egress_;
+  source_mirror mirror_;
+  news_service news_;
+  net::http_client peer_reads_;
+  net::admin_server ready_;
+  net::admin_server admin_;
+};
+
+node::node(net::event_loop& loop, net::timer_service& timers,
+           node_settings settings, adapter with)
+    : impl_(std::make_unique<impl>(loop, timers, std::move(settings),
+                                   std::move(with))) {}
+node::~node() = default;
+
+tl::expected<void, std::string> node::Start() { return impl_->Start(); }
+void node::BeginStop() { impl_->BeginStop(); }
+void node::Reload(const node_settings& settings) { impl_->Reload(settings); }
+
+}  // namespace pimentohall::node
--- /dev/null
+++ b/src/node/node_metrics.cc
@@ -0,0 +1,122 @@
+#include "node/node_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace pimentohall::node {
+namespace {
+
+// Upper bounds in seconds.
+const prometheus::Histogram::BucketBoundaries kBounds = {
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 8};
+
+double Seconds(core::duration of) {
+  return std::chrono::duration<double>(of).count();
+}
+
+void RaiseTo(prometheus::Counter* counter, double total) {
+  const double more = total - counter->Value();
+  if (more > 0) counter->Increment(more);
+}
+
+}  // namespace
+
+prometheus::Gauge* node_metrics::Gauge(const char* name, const char* help) {
+  return &prometheus::BuildGauge()
+              .Name(name)
+              .Help(help)
+              .Register(registry_)
+              .Add({});
+}
+
+prometheus::Family<prometheus::Counter>* node_metrics::Counters(
+    const char* name, const char* help) {
+  return &prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
+}
+
+prometheus::Family<prometheus::Histogram>* node_metrics::Histograms(
+    const char* name, const char* help) {
+  return &prometheus::BuildHistogram().Name(name).Help(help).Register(
+      registry_);
+}
+
+node_metrics::node_metrics()
+    : calls_(Counters("pimentohall_calls_total",
+                      "Callers' calls that ended, by route and outcome.")),
+      attempts_(Counters("pimentohall_attempts_total",
+                         "Attempts forwarded to a daemon.")),
+      source_(Counters("pimentohall_source_answers_total",
+                       "Answers of the configuration source, by result.")),
+      news_(Counters("pimentohall_news_total", "News datagrams.")),
+      news_bytes_(
+          Counters("pimentohall_news_bytes_total", "Bytes of news datagrams.")),
+      dropped_lines_(Counters("pimentohall_dropped_log_lines_total",
+                              "Log lines dropped for lack of room.")),
+      call_time_(Histograms("pimentohall_call_seconds",
+                            "Time from a call's head to its answer.")),
+      queue_wait_(Histograms("pimentohall_queue_wait_seconds",
+                             "Time that started calls waited here.")),
+      upstream_time_(Histograms("pimentohall_upstream_seconds",
+                                "Time of calls at the upstream.")),
+      ready_(Gauge("pimentohall_ready", "1 if callers are welcome.")),
+      config_version_(Gauge("pimentohall_config_version",
+                            "Configuration in force; 0: none.")),
+      config_age_(Gauge("pimentohall_config_age_seconds",
+                        "Since the configuration came into force.")),
+      source_age_(Gauge("pimentohall_source_age_seconds",
+                        "Since the source last answered.")),
+      peers_(Gauge("pimentohall_peers", "Other daemons heard.")),
+      running_(Gauge("pimentohall_running", "Calls at the upstream.")),
+      queued_(Gauge("pimentohall_queued", "Calls that wait for it.")) {}
+
+void node_metrics::CountCall(const std::string& route, int status,
+                             const char* source, const char* reason,
+                             core::duration took) {
+  calls_
+      ->Add({{"route", route},
+             {"status", std::to_string(status)},
+             {"source", source},
+             {"reason", reason}})
+      .Increment();
+  call_time_->Add({{"source", source}}, kBounds).Observe(Seconds(took));
+}
+
+void node_metrics::ObserveQueueWait(core::duration waited) {
+  queue_wait_->Add({}, kBounds).Observe(Seconds(waited));
+}
+
+void node_metrics::ObserveUpstream(const std::string& outcome,
+                                   core::duration took) {
+  upstream_time_->Add({{"outcome", outcome}}, kBounds).Observe(Seconds(took));
+}
+
+void node_metrics::CountAttempt(bool is_repeat) {
+  attempts_->Add({{"repeat", is_repeat ? "true" : "false"}}).Increment();
+}
+
+void node_metrics::CountSource(const char* result) {
+  source_->Add({{"result", result}}).Increment();
+}
+
+void node_metrics::CountNews(bool sent, std::size_t bytes) {
+  const char* direction = sent ? "sent" : "received";
+  news_->Add({{"direction", direction}}).Increment();
+  news_bytes_->Add({{"direction", direction}})
+      .Increment(static_cast<double>(bytes));
+}
+
+void node_metrics::CountDroppedLogLines(std::uint64_t total) {
+  RaiseTo(&dropped_lines_->Add({}), static_cast<double>(total));
+}
+
+std::string node_metrics::Render(const gauges& now) {
+  ready_->Set(now.ready ? 1 : 0);
+  config_version_->Set(static_cast<double>(now.config_version));
+  config_age_->Set(now.config_age_s);
+  source_age_->Set(now.source_age_s);
+  peers_->Set(static_cast<double>(now.peers));
+  running_->Set(static_cast<double>(now.running));
+  queued_->Set(static_cast<double>(now.queued));
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace pimentohall::node
--- /dev/null
+++ b/src/node/node_metrics.h
@@ -0,0 +1,72 @@
+#ifndef PIMENTOHALL_NODE_NODE_METRICS_H_
+#define PIMENTOHALL_NODE_NODE_METRICS_H_
+
+// Counters and latency histograms of a daemon in the Prometheus text format.
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+#include "pimentohall/core.h"
+
+namespace pimentohall::node {
+
+class node_metrics {
+ public:
+  node_metrics();
+  // A caller's call ended with this status; `source` tells who answered:
+  // "upstream" or "daemon".
+  void CountCall(const std::string& route, int status, const char* source,
+                 const char* reason, core::duration took);
+  // A call at the egress was started after this wait.
+  void ObserveQueueWait(core::duration waited);
+  void ObserveUpstream(const std::string& outcome, core::duration took);
+  void CountAttempt(bool is_repeat);
+  void CountSource(const char* result);
+  void CountNews(bool sent, std::size_t bytes);
+  void CountDroppedLogLines(std::uint64_t total);
+
+  struct gauges {
+    bool ready = false;
+    std::uint64_t config_version = 0;
+    double config_age_s = 0;
+    double source_age_s = 0;  // Since the source last answered.
+    std::size_t peers = 0;
+    std::size_t running = 0;
+    std::size_t queued = 0;
+  };
+  std::string Render(const gauges& now);
+
+ private:
+  prometheus::Gauge* Gauge(const char* name, const char* help);
+  prometheus::Family<prometheus::Counter>* Counters(const char* name,
+                                                    const char* help);
+  prometheus::Family<prometheus::Histogram>* Histograms(const char* name,
+                                                        const char* help);
+
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>* calls_;
+  prometheus::Family<prometheus::Counter>* attempts_;
+  prometheus::Family<prometheus::Counter>* source_;
+  prometheus::Family<prometheus::Counter>* news_;
+  prometheus::Family<prometheus::Counter>* news_bytes_;
+  prometheus::Family<prometheus::Counter>* dropped_lines_;
+  prometheus::Family<prometheus::Histogram>* call_time_;
+  prometheus::Family<prometheus::Histogram>* queue_wait_;
+  prometheus::Family<prometheus::Histogram>* upstream_time_;
+  prometheus::Gauge* ready_;
+  prometheus::Gauge* config_version_;
+  prometheus::Gauge* config_age_;
+  prometheus::Gauge* source_age_;
+  prometheus::Gauge* peers_;
+  prometheus::Gauge* running_;
+  prometheus::Gauge* queued_;
+};
+
+}  // namespace pimentohall::node
+
+#endif  // PIMENTOHALL_NODE_NODE_METRICS_H_
--- /dev/null
+++ b/src/node/source_mirror.h
@@ -0,0 +1,100 @@
+#ifndef PIMENTOHALL_NODE_SOURCE_MIRROR_H_
+#define PIMENTOHALL_NODE_SOURCE_MIRROR_H_
+
+// A copy of the source's items, kept current by a read and then watches.
+//
+// Invariant: an area's items never go back. A page or event older than what is
+// held for its key is dropped, and a whole copy (a read, or a peer's) replaces
+// the items only if it is at least as new.
+//
+// Pages of a read aren't one snapshot, so watching goes on from the revision of
+// the first page: what changed between pages comes again as events.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "node/fleet_state.h"
+#include "pimentohall/node.h"
+
+namespace pimentohall::node {
+
+class source_mirror {
+ public:
+  source_mirror(fleet_state& fleet, source_reader& reader);
+  ~source_mirror();
+
+  void Start();
+  // The newest revision of a change that this area's copy contains.
+  std::uint64_t ChangeRevision(source_area area) const;
+  // The source answered this area's last call.
+  bool IsConnected(source_area area) const;
+  // When the source last answered, for any area.
+  instant AnsweredAt() const { return answered_at_; }
+  // Reads anew if a peer knows more and the own watch may be stuck.
+  void Nudge(source_area area);
+
+  // The items of all areas, for a peer.
+  std::string Export() const;
+  // Takes a peer's items over where they are newer.
+  void Import(std::string_view bytes);
+
+  // An item changed or was removed. `after_outage`: the source was away lately,
+  // so a missing item may only have lapsed.
+  std::function<void(source_area, const source_item&, bool after_outage)>
+      on_item;
+  // All changes of one answer were told.
+  std::function<void(source_area)> on_settled;
+
+ private:
+  struct area_state {
+    source_area area = source_area::kSettings;
+    std::map<std::string, source_item> items;
+    std::uint64_t revision = 0;         // Everything up to it is contained.
+    std::uint64_t change_revision = 0;  // Of the newest change contained.
+    bool whole = false;                 // A read was completed.
+    bool connected = false;
+    bool told_lost = false;
+    instant lost_at{};
+    instant regained_at{};
+    int failures = 0;
+    std::uint64_t generation = 0;  // Answers to older calls are dropped.
+    instant asked_at{};
+    // While a read goes on.
+    std::map<std::string, source_item> read_items;
+    std::uint64_t read_revision = 0;
+    sigc::connection retry_timer;
+  };
+
+  area_state& At(source_area area) {
+    return areas_[static_cast<std::size_t>(area)];
+  }
+  const area_state& At(source_area area) const {
+    return areas_[static_cast<std::size_t>(area)];
+  }
+  void Read(area_state* at, const std::string& after);
+  void OnPage(area_state* at, source_page page);
+  void Watch(area_state* at);
+  void OnEvents(area_state* at, source_page page);
+  void OnProblem(area_state* at, source_problem problem);
+  void OnAnswered(area_state* at);
+  // Replaces all items; tells what differs.
+  void Replace(area_state* at, std::map<std::string, source_item> items,
+               std::uint64_t revision);
+  bool Apply(area_state* at, const source_item& item);
+  void Remove(area_state* at, const std::string& key, std::uint64_t revision);
+  bool IsAfterOutage(const area_state& at) const;
+
+  fleet_state& fleet_;
+  source_reader& reader_;
+  area_state areas_[2];
+  instant answered_at_{};
+};
+
+}  // namespace pimentohall::node
+
+#endif  // PIMENTOHALL_NODE_SOURCE_MIRROR_H_
