Keep drain, retry budget and bytes within bounds

Change: lapsed entries are kept until 2 s after the source's return, and peers pass the rest of that time on; nested calls charge the budget by the share of repeats among the running calls, and 0.55 of the budget is used; a stop waits for open connections. News and call headers are smaller, news come every 300 ms, near upstreams are preferred by half a call's time. Conclusion: a trial that told later attempts by their budget failed: first attempts carry varying budgets.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -164,15 +164,10 @@
   friend bool operator==(const upstream& a, const upstream& b);
 };
 
-// The upstreams that may get calls. An entry that disappears while the source
-// was away, or shortly after, is kept for a grace time: it may only have
-// lapsed.
+// The upstreams that may get calls. An entry that went missing around an outage
+// of the source may only have lapsed, and is kept for a grace time.
 class directory {
  public:
-  // How long a missing entry is kept after the source is back; the publishers'
-  // stated time.
-  static constexpr duration kReturnTime = std::chrono::milliseconds(2000);
-
   struct entry {
     upstream what;
     instant read_at{};
@@ -180,8 +175,8 @@
   };
 
   void Put(const upstream& what, instant now);
-  // The entry was removed. With `may_have_lapsed`, it is kept for kReturnTime.
-  void Remove(const std::string& id, bool may_have_lapsed, instant now);
+  // The entry was removed; it is kept for `grace` if it isn't draining.
+  void Remove(const std::string& id, duration grace, instant now);
   // The entry names no upstream any more.
   void Drop(const std::string& id);
   // Drops missing entries whose time is over; true if there were any.
@@ -214,7 +209,9 @@
   int queued = 0;
   int slots = 0;          // 0: takes no calls.
   double backlog_ms = 0;  // Work that waits or runs, divided by the slots.
-  // Time of calls relative to the expectation for their routes; 1: as usual.
+                          // Whole in news.
+  // Time of calls relative to the expectation for their routes; 1: as usual. In
+  // steps of 0.01 in news.
   double slowness = 1;
   friend bool operator==(const load_news& a, const load_news& b);
 };
@@ -228,13 +225,15 @@
 // What a daemon tells all others several times a second. Each datagram stands
 // alone: a lost one is made good by the next.
 struct peer_news {
-  std::string address;  // Of the VM; names the daemon.
-  std::uint64_t boot = 0;
+  // Of the VM; names the daemon. Not in the datagram: the receiver takes it
+  // from the sender's address.
+  std::string address;
+  std::uint32_t boot = 0;  // Random for each start of the daemon.
   std::uint64_t sequence = 0;
   std::uint64_t uptime_ms = 0;
   bool stopping = false;
   std::uint64_t heard_sequence = 0;  // The last news from the receiver.
-  std::uint64_t heard_boot = 0;
+  std::uint32_t heard_boot = 0;
   // Revisions of the newest change known, by area of the source.
   std::uint64_t settings_revision = 0;
   std::uint64_t upstreams_revision = 0;
@@ -247,19 +246,20 @@
 // Largest datagram sent; fits one packet on usual links.
 inline constexpr std::size_t kMaxNewsBytes = 1400;
 std::string EncodeNews(const peer_news& news);
-// Rejects what `EncodeNews` can't have made.
-tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes);
+// Rejects what `EncodeNews` can't have made. `address` is the sender's.
+tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes,
+                                                const std::string& address);
 
 // Which daemons are alive.
 class peer_table {
  public:
-  // Without news for this long a daemon counts as unreachable: four losses in
+  // Without news for this long a daemon counts as unreachable: three losses in
   // a row at the usual period.
-  static constexpr duration kSilence = std::chrono::milliseconds(900);
+  static constexpr duration kSilence = std::chrono::milliseconds(1000);
 
   struct peer {
     std::string address;
-    std::uint64_t boot = 0;
+    std::uint32_t boot = 0;
     std::uint64_t sequence = 0;
     instant heard_at{};
     instant echoed_at{};  // It had heard from us.
@@ -270,7 +270,7 @@
   };
   enum class change { kStale, kUpdate, kNewBoot, kFirst, kBack };
 
-  explicit peer_table(std::string own_address, std::uint64_t own_boot)
+  peer_table(std::string own_address, std::uint32_t own_boot)
       : own_address_(std::move(own_address)), own_boot_(own_boot) {}
 
   // Takes news over; kStale: older than what is known.
@@ -288,7 +288,7 @@
 
  private:
   std::string own_address_;
-  std::uint64_t own_boot_;
+  std::uint32_t own_boot_;
   std::map<std::string, peer, std::less<>> peers_;
 };
 
@@ -343,7 +343,7 @@
     instant admitted_at{};
   };
   struct peer_counts {
-    std::uint64_t boot = 0;
+    std::uint32_t boot = 0;
     std::unordered_map<std::uint32_t, std::uint64_t> admitted;
     bool baseline = false;  // Counts seen first are taken as past.
   };
@@ -369,22 +369,27 @@
 // slack is divided evenly.
 class retry_budget {
  public:
-  // Part of the budget that is used: calls that a repeat makes count too and
-  // can't be told apart.
-  static constexpr double kUsedShare = 0.7;
+  // Part of the budget that is used. The rest is for the calls that repeats
+  // make at other services: they count there, and can't be refused.
+  static constexpr double kUsedShare = 0.55;
 
   explicit retry_budget(retry_limits limits) : limits_(limits) {}
   void SetFleet(std::size_t daemons) {
     daemons_ = std::max<std::size_t>(1, daemons);
   }
   void OnCall(const std::string& service, instant now);
+  // A call of an upstream on this VM; `repeat_share` of its running calls are
+  // repeats, so that part of it counts as one.
+  void OnNestedCall(const std::string& service, double repeat_share,
+                    instant now);
   // Takes a repeat if the budget has room.
   bool TakeRepeat(const std::string& service, instant now);
 
  private:
   struct window_counts {
     std::deque<instant> calls;
-    std::deque<instant> repeats;
+    std::deque<std::pair<instant, double>> repeats;
+    double repeated = 0;  // Sum of `repeats`.
   };
   void Expire(window_counts* at, instant now) const;
 
--- a/src/mesh/allotment.cc
+++ b/src/mesh/allotment.cc
@@ -48,16 +48,15 @@
   if (found == buckets_.end()) return {};
   bucket& at = found->second;
   Refill(&at, now);
-  if (at.level < 1) {
-    const double wait_s =
-        (1 - at.level) / std::max(0.001, at.rate_per_s * share_);
-    return tl::unexpected(std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(wait_s)));
+  if (at.level >= 1) {
+    at.level -= 1;
+    ++at.admitted;
+    at.admitted_at = now;
+    return {};
   }
-  at.level -= 1;
-  ++at.admitted;
-  at.admitted_at = now;
-  return {};
+  const double rate = std::max(0.001, at.rate_per_s * share_);
+  return tl::unexpected(std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>((1 - at.level) / rate)));
 }
 
 // The count told to others only grows, so only the own bucket gets it back;
--- a/src/mesh/directory.cc
+++ b/src/mesh/directory.cc
@@ -15,17 +15,16 @@
   entries_[what.id] = {what, now, std::nullopt};
 }
 
-void directory::Remove(const std::string& id, bool may_have_lapsed,
-                       instant now) {
+void directory::Remove(const std::string& id, duration grace, instant now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   // An upstream that said it is leaving didn't lapse.
-  if (!may_have_lapsed || found->second.what.draining) {
+  if (grace.count() <= 0 || found->second.what.draining) {
     entries_.erase(found);
     return;
   }
   if (!found->second.missing_until) {
-    found->second.missing_until = now + kReturnTime;
+    found->second.missing_until = now + grace;
   }
 }
 
--- a/src/mesh/news_codec.cc
+++ b/src/mesh/news_codec.cc
@@ -1,5 +1,6 @@
 // News as CBOR arrays in the order of the struct.
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "pimentohall/mesh.h"
@@ -9,14 +10,16 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kFields = 13;
+constexpr std::size_t kFields = 12;
+constexpr double kSlownessSteps = 100;
 constexpr std::size_t kMaxCounts = 1000;
 constexpr std::size_t kMaxCrashes = 64;
 
 json EncodeLoad(const std::optional<load_news>& load) {
   if (!load) return nullptr;
   return json::array({load->upstream, load->running, load->queued, load->slots,
-                      load->backlog_ms, load->slowness});
+                      std::llround(load->backlog_ms),
+                      std::llround(load->slowness * kSlownessSteps)});
 }
 
 load_news DecodeLoad(const json& from) {
@@ -26,7 +29,7 @@
   load.queued = from.at(2).get<int>();
   load.slots = from.at(3).get<int>();
   load.backlog_ms = from.at(4).get<double>();
-  load.slowness = from.at(5).get<double>();
+  load.slowness = from.at(5).get<double>() / kSlownessSteps;
   return load;
 }
 
@@ -46,21 +49,20 @@
 
 peer_news DecodeFields(const json& from) {
   peer_news news;
-  news.address = from.at(0).get<std::string>();
-  news.boot = from.at(1).get<std::uint64_t>();
-  news.sequence = from.at(2).get<std::uint64_t>();
-  news.uptime_ms = from.at(3).get<std::uint64_t>();
-  news.stopping = from.at(4).get<bool>();
-  news.heard_sequence = from.at(5).get<std::uint64_t>();
-  news.heard_boot = from.at(6).get<std::uint64_t>();
-  news.settings_revision = from.at(7).get<std::uint64_t>();
-  news.upstreams_revision = from.at(8).get<std::uint64_t>();
-  if (!from.at(9).is_null()) news.load = DecodeLoad(from.at(9));
-  for (const json& each : from.at(10)) {
+  news.boot = from.at(0).get<std::uint32_t>();
+  news.sequence = from.at(1).get<std::uint64_t>();
+  news.uptime_ms = from.at(2).get<std::uint64_t>();
+  news.stopping = from.at(3).get<bool>();
+  news.heard_sequence = from.at(4).get<std::uint64_t>();
+  news.heard_boot = from.at(5).get<std::uint32_t>();
+  news.settings_revision = from.at(6).get<std::uint64_t>();
+  news.upstreams_revision = from.at(7).get<std::uint64_t>();
+  if (!from.at(8).is_null()) news.load = DecodeLoad(from.at(8));
+  for (const json& each : from.at(9)) {
     news.admitted.push_back(
         {each.at(0).get<std::uint32_t>(), each.at(1).get<std::uint64_t>()});
   }
-  for (const json& each : from.at(11)) {
+  for (const json& each : from.at(10)) {
     news.crashes.push_back(DecodeCrash(each));
   }
   return news;
@@ -77,7 +79,7 @@
   return a.tenant == b.tenant && a.admitted == b.admitted;
 }
 bool operator==(const peer_news& a, const peer_news& b) {
-  return EncodeNews(a) == EncodeNews(b);
+  return a.address == b.address && EncodeNews(a) == EncodeNews(b);
 }
 
 std::string EncodeNews(const peer_news& news) {
@@ -89,26 +91,29 @@
   for (const core::crash_report& each : news.crashes) {
     crashes.push_back(EncodeCrash(each));
   }
-  const json fields = json::array(
-      {news.address, news.boot, news.sequence, news.uptime_ms, news.stopping,
-       news.heard_sequence, news.heard_boot, news.settings_revision,
-       news.upstreams_revision, EncodeLoad(news.load), std::move(counts),
-       std::move(crashes), kFields});
+  const json fields =
+      json::array({news.boot, news.sequence, news.uptime_ms, news.stopping,
+                   news.heard_sequence, news.heard_boot, news.settings_revision,
+                   news.upstreams_revision, EncodeLoad(news.load),
+                   std::move(counts), std::move(crashes), kFields});
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
 }
 
-tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes) {
+tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes,
+                                                const std::string& address) {
   try {
     const json from = json::from_cbor(bytes.begin(), bytes.end());
     if (!from.is_array() || from.size() != kFields || from.back() != kFields) {
       return tl::unexpected(std::string("not news of this version"));
     }
-    if (from.at(10).size() > kMaxCounts || from.at(11).size() > kMaxCrashes) {
+    if (from.at(9).size() > kMaxCounts || from.at(10).size() > kMaxCrashes) {
       return tl::unexpected(std::string("lists are too long"));
     }
-    return DecodeFields(from);
+    peer_news news = DecodeFields(from);
+    news.address = address;
+    return news;
   } catch (const json::exception& problem) {
     return tl::unexpected(std::string(problem.what()));
   }
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -13,8 +13,9 @@
 constexpr double kFailureHalfLifeS = 2.0;
 // A failure costs the caller about this many usual call times.
 constexpr double kFailureCost = 6;
-// Crossing zones costs this much of the score; ties go to the near zone.
+// Crossing zones costs this much of the score, for the way and the bytes.
 constexpr double kFarMs = 3;
+constexpr double kFarShare = 0.5;  // Of the call's usual time.
 // Candidates within this share of the best are equal; one is drawn.
 constexpr double kTieShare = 0.08;
 // A cold upstream is slow.
@@ -76,7 +77,7 @@
   const double crowded = std::min(1.0, taken / slots);
   return wait_ms + call_ms * (1 + kCrowding * crowded * crowded) +
          kFailureCost * typical_ms * FailureShare(at, now) +
-         (of.is_near ? 0 : kFarMs);
+         (of.is_near ? 0 : kFarMs + kFarShare * typical_ms);
 }
 
 std::optional<std::size_t> target_picker::Pick(
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -40,6 +40,8 @@
 
 // Longer than any deadline, so that evhttp's own timeouts never decide.
 constexpr int kNeverSeconds = 3600;
+// A server that doesn't acknowledge bytes for this long is taken as gone.
+constexpr auto kSilence = std::chrono::seconds(2);
 constexpr ev_ssize_t kMaxAnswerHeaderBytes = 16 * 1024;
 
 std::optional<evhttp_cmd_type> MethodType(const std::string& name) {
@@ -223,7 +225,10 @@
       return false;
     }
     if (running->request == nullptr) return true;  // Failed at once; reported.
-    DisableNagle(bufferevent_getfd(evhttp_connection_get_bufferevent(http)));
+    const int socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(http));
+    DisableNagle(socket);
+    SetSilenceLimit(socket, kSilence);
     return true;
   }
 
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// Kernel probes on a connection without traffic: silence is found after about
+// kProbeIdleS + kProbes * kProbeGapS seconds.
+constexpr int kProbeIdleS = 1;
+constexpr int kProbeGapS = 1;
+constexpr int kProbes = 2;
 
 std::string ErrorText(const endpoint& where, const char* step) {
   return where.address + ":" + std::to_string(where.port) + ": " + step + ": " +
@@ -26,6 +31,20 @@
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
+void SetSilenceLimit(int socket, core::duration silence) {
+  const auto silence_ms = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+             sizeof(silence_ms));
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleS,
+             sizeof(kProbeIdleS));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeGapS,
+             sizeof(kProbeGapS));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 tl::expected<int, std::string> OpenBoundSocket(const endpoint& where) {
   sockaddr_storage address{};
   int size = sizeof(address);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -21,6 +21,9 @@
 tl::expected<int, std::string> OpenListeningSocket(const endpoint& where);
 int BoundPort(int socket);
 void DisableNagle(int socket);
+// Ends the connection when bytes sent stay unacknowledged for `silence`, or
+// when the other end doesn't answer the kernel's probes for about 3 s.
+void SetSilenceLimit(int socket, core::duration silence);
 
 }  // namespace pimentohall::net
 
--- a/src/node/call_header.cc
+++ b/src/node/call_header.cc
@@ -3,6 +3,7 @@
 #include <event2/util.h>
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace pimentohall::node {
@@ -10,7 +11,11 @@
 
 using nlohmann::json;
 
+constexpr int kNestedFlag = 1;
+constexpr int kIdempotentFlag = 2;
+constexpr int kRepeatFlag = 4;
 constexpr int kOutcomes = 4;
+constexpr double kSlownessSteps = 100;
 constexpr int kReasons = static_cast<int>(core::reason::kPeerLost) + 1;
 
 std::string Dump(const json& value) {
@@ -20,19 +25,18 @@
 call_header ReadCall(const json& from) {
   call_header call;
   call.attempt = from.at(0).get<std::string>();
-  call.caller_id = from.at(1).get<std::string>();
-  call.service = from.at(2).get<std::string>();
-  call.upstream = from.at(3).get<std::string>();
-  call.route = from.at(4).get<std::string>();
-  call.tenant = from.at(5).get<std::string>();
-  call.caller_service = from.at(6).get<std::string>();
-  call.rank = from.at(7).get<int>();
-  call.nested = from.at(8).get<bool>();
-  call.idempotent = from.at(9).get<bool>();
-  call.budget_ms = from.at(10).get<double>();
-  call.aim_ms = from.at(11).get<double>();
-  call.typical_ms = from.at(12).get<double>();
-  call.config_version = from.at(13).get<std::uint64_t>();
+  call.upstream = from.at(1).get<std::string>();
+  call.route = from.at(2).get<std::string>();
+  call.tenant = from.at(3).get<std::string>();
+  call.caller_service = from.at(4).get<std::string>();
+  call.rank = from.at(5).get<int>();
+  const int flags = from.at(6).get<int>();
+  call.nested = (flags & kNestedFlag) != 0;
+  call.idempotent = (flags & kIdempotentFlag) != 0;
+  call.repeat = (flags & kRepeatFlag) != 0;
+  call.budget_ms = from.at(7).get<duration_ms>();
+  call.aim_ms = from.at(8).get<duration_ms>();
+  call.typical_ms = from.at(9).get<duration_ms>();
   return call;
 }
 
@@ -45,16 +49,16 @@
   }
   read.what = static_cast<outcome>(what);
   read.why = static_cast<core::reason>(why);
-  read.retry_after_ms = from.at(2).get<double>();
-  read.took_ms = from.at(3).get<double>();
-  read.waited_ms = from.at(4).get<double>();
+  read.retry_after_ms = from.at(2).get<duration_ms>();
+  read.took_ms = from.at(3).get<duration_ms>();
+  read.waited_ms = from.at(4).get<duration_ms>();
   const json& load = from.at(5);
   read.load.upstream = load.at(0).get<std::string>();
   read.load.running = load.at(1).get<int>();
   read.load.queued = load.at(2).get<int>();
   read.load.slots = load.at(3).get<int>();
   read.load.backlog_ms = load.at(4).get<double>();
-  read.load.slowness = load.at(5).get<double>();
+  read.load.slowness = load.at(5).get<double>() / kSlownessSteps;
   return read;
 }
 
@@ -82,11 +86,12 @@
 }
 
 std::string EncodeCall(const call_header& call) {
-  return Dump(
-      json::array({call.attempt, call.caller_id, call.service, call.upstream,
-                   call.route, call.tenant, call.caller_service, call.rank,
-                   call.nested, call.idempotent, call.budget_ms, call.aim_ms,
-                   call.typical_ms, call.config_version}));
+  const int flags = (call.nested ? kNestedFlag : 0) |
+                    (call.idempotent ? kIdempotentFlag : 0) |
+                    (call.repeat ? kRepeatFlag : 0);
+  return Dump(json::array({call.attempt, call.upstream, call.route, call.tenant,
+                           call.caller_service, call.rank, flags,
+                           call.budget_ms, call.aim_ms, call.typical_ms}));
 }
 
 tl::expected<call_header, std::string> DecodeCall(std::string_view text) {
@@ -99,7 +104,8 @@
       {static_cast<int>(outcome.what), static_cast<int>(outcome.why),
        outcome.retry_after_ms, outcome.took_ms, outcome.waited_ms,
        json::array({load.upstream, load.running, load.queued, load.slots,
-                    load.backlog_ms, load.slowness})}));
+                    std::llround(load.backlog_ms),
+                    std::llround(load.slowness * kSlownessSteps)})}));
 }
 
 tl::expected<outcome_header, std::string> DecodeOutcome(std::string_view text) {
--- a/src/node/call_header.h
+++ b/src/node/call_header.h
@@ -13,17 +13,15 @@
 
 namespace pimentohall::node {
 
-// Milliseconds on the wire between daemons.
-using duration_ms = double;
+// Whole milliseconds on the wire between daemons.
+using duration_ms = std::int64_t;
 
 inline constexpr char kCallHeader[] = "X-Pimentohall-Call";
 inline constexpr char kOutcomeHeader[] = "X-Pimentohall-Outcome";
 
 // What the egress needs to know of a forwarded call.
 struct call_header {
-  std::string attempt;    // Unique over all daemons and starts.
-  std::string caller_id;  // The caller's id of its attempt.
-  std::string service;
+  std::string attempt;  // Unique over all daemons and starts.
   std::string upstream;
   std::string route;
   std::string tenant;
@@ -31,10 +29,10 @@
   int rank = 0;
   bool nested = false;
   bool idempotent = false;
+  bool repeat = false;  // An upstream had the call before.
   duration_ms budget_ms = 0;
   duration_ms aim_ms = 0;      // Rest of the aim; may be negative.
   duration_ms typical_ms = 0;  // Usual time of the call in the fleet.
-  std::uint64_t config_version = 0;
 };
 
 enum class outcome {
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -41,12 +41,8 @@
 constexpr char kMirrorPath[] = "/pimentohall/mirror";
 constexpr char kAttemptPath[] = "/pimentohall/attempt?id=";
 
-double Ms(duration of) {
-  return std::chrono::duration<double, std::milli>(of).count();
-}
-duration FromMs(double ms) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(ms));
+duration_ms Ms(duration of) {
+  return std::chrono::duration_cast<milliseconds>(of).count();
 }
 
 }  // namespace
@@ -56,6 +52,7 @@
   std::shared_ptr<stream::connection> conn;
   stream::message_head head;
   call_header info;
+  std::string caller_id;  // The caller's id of its attempt.
   instant received{};
   instant deadline{};
   instant aim_at{};
@@ -261,8 +258,8 @@
   const bool takes =
       state_ != upstream_state::kDown && !upstream_->draining && !stopping_;
   load.slots = takes ? upstream_->slots : 0;
-  load.backlog_ms =
-      Ms(queue_.Work() + RunningWork(now)) / std::max(1, upstream_->slots);
+  load.backlog_ms = static_cast<double>(
+      Ms((queue_.Work() + RunningWork(now)) / std::max(1, upstream_->slots)));
   load.slowness = slowness_;
   return load;
 }
@@ -291,9 +288,10 @@
   which->id = ++last_id_;
   which->conn = conn;
   which->info = std::move(*info);
+  which->caller_id = fleet_.dialect.ReadRequest(head).id;
   which->received = fleet_.loop.Now();
-  which->deadline = which->received + FromMs(which->info.budget_ms);
-  which->aim_at = which->received + FromMs(which->info.aim_ms);
+  which->deadline = which->received + milliseconds(which->info.budget_ms);
+  which->aim_at = which->received + milliseconds(which->info.aim_ms);
   DropFleetHeaders(&head.headers);
   which->head = std::move(head);
   calls_[which->id] = which;
@@ -389,7 +387,9 @@
 }
 
 duration egress::ExpectedTime(const call_header& of) const {
-  return times_.ExpectOr(of.route, FromMs(of.typical_ms * slowness_));
+  const auto usual = std::chrono::duration<double, std::milli>(
+      static_cast<double>(of.typical_ms) * slowness_);
+  return times_.ExpectOr(of.route, std::chrono::duration_cast<duration>(usual));
 }
 
 duration egress::RunningWork(instant now) const {
@@ -514,7 +514,7 @@
   };
   handlers.on_drained = [which] { which->conn->SetReading(true); };
   const auto is_own =
-      [this, id = which->info.caller_id](const stream::message_head& answer) {
+      [this, id = which->caller_id](const stream::message_head& answer) {
         const upstream_answer facts = fleet_.dialect.ReadAnswer(answer);
         return facts.id.empty() ? answer.status >= 300 : facts.id == id;
       };
@@ -525,6 +525,7 @@
     return;
   }
   running_[which->id] = which;
+  NoteRepeats();
   fleet_.metrics.ObserveQueueWait(now - which->received);
   which->exchange->SendData(which->body);
   if (which->body_whole) {
@@ -535,6 +536,16 @@
   }
 }
 
+void egress::NoteRepeats() {
+  const auto repeats =
+      std::count_if(running_.begin(), running_.end(),
+                    [](const auto& each) { return each.second->info.repeat; });
+  fleet_.repeat_share =
+      running_.empty()
+          ? 0
+          : static_cast<double>(repeats) / static_cast<double>(running_.size());
+}
+
 // ---------------------------------------------------------------------------
 // The upstream's answer.
 
@@ -565,6 +576,7 @@
   const instant now = fleet_.loop.Now();
   const duration took = now - which->started;
   running_.erase(which->id);
+  NoteRepeats();
   which->exchange = nullptr;
   guard_.OnAnswered(which->fingerprint);
   outcome what = outcome::kAnswered;
@@ -577,8 +589,11 @@
     why = core::reason::kShed;
   } else if (which->answer.status < 300) {
     times_.Observe(which->info.route, took);
-    const double typical = std::max(1.0, which->info.typical_ms);
-    const double ratio = std::clamp(Ms(took) / typical, 0.05, 20.0);
+    const duration typical = std::max<duration>(
+        milliseconds(1), milliseconds(which->info.typical_ms));
+    const double ratio = std::clamp(static_cast<double>(took.count()) /
+                                        static_cast<double>(typical.count()),
+                                    0.05, 20.0);
     slowness_ += kSlownessWeight * (ratio - slowness_);
   }
   fleet_.metrics.ObserveUpstream(OutcomeName(what), took);
@@ -640,6 +655,7 @@
 void egress::OnFailed(const call_ptr& which, stream::failure why) {
   const instant now = fleet_.loop.Now();
   running_.erase(which->id);
+  NoteRepeats();
   which->exchange = nullptr;
   fleet_.metrics.ObserveUpstream("failed", now - which->started);
   if (which->streams_answer) {
@@ -693,7 +709,7 @@
   const bool started = which.started != instant{};
   net::Log(
       core::log_level::kInfo, "attempt ended",
-      {{"request", which.info.caller_id},
+      {{"request", which.caller_id},
        {"attempt", which.info.attempt},
        {"outcome", OutcomeName(what)},
        {"reason", core::ReasonName(why)},
@@ -725,6 +741,7 @@
   const bool ran = which->started != instant{};
   queue_.Remove(which->id);
   running_.erase(which->id);
+  NoteRepeats();
   if (which->exchange) which->exchange->Cancel();
   which->exchange = nullptr;
   LogEnd(*which, ran ? outcome::kMayHaveRun : outcome::kNotRun,
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -69,6 +69,8 @@
   // Starts waiting calls while there is room.
   void Pump();
   void StartCall(const call_ptr& which);
+  // Keeps the share of repeats among the running calls current.
+  void NoteRepeats();
   duration ExpectedTime(const call_header& of) const;
   duration RunningWork(instant now) const;
 
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -18,7 +18,7 @@
 struct fleet_state {
   fleet_state(net::event_loop& loop_used, net::timer_service& timers_used,
               node_settings settings_used, const call_dialect& dialect_used,
-              std::uint64_t own_boot)
+              std::uint32_t own_boot)
       : loop(loop_used),
         timers(timers_used),
         settings(std::move(settings_used)),
@@ -35,7 +35,7 @@
   net::timer_service& timers;
   node_settings settings;
   const call_dialect& dialect;
-  const std::uint64_t boot;
+  const std::uint32_t boot;
   const instant started_at;
 
   std::shared_ptr<const mesh::configuration> config;  // Null: none known yet.
@@ -51,6 +51,8 @@
   mesh::time_estimator typical{std::chrono::milliseconds(100)};
   node_metrics metrics;
   bool stopping = false;
+  // Share of the calls running at this VM's upstream that are repeats.
+  double repeat_share = 0;
 
   // The address at which the daemon on this VM takes calls of others.
   net::endpoint PeerEndpoint(const std::string& address) const {
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -34,17 +34,11 @@
 constexpr int kLinksPerPeer = 300;
 // How long to wait for a daemon's word on an attempt whose link broke.
 constexpr duration kQuestionTime = milliseconds(500);
-// A repeat needs this part of the usual time at least.
-constexpr double kLeastRepeatShare = 0.8;
 
 constexpr char kJsonType[] = "application/json";
 
-double Ms(duration of) {
-  return std::chrono::duration<double, std::milli>(of).count();
-}
-duration FromMs(double ms) {
-  return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(ms));
+duration_ms Ms(duration of) {
+  return std::chrono::duration_cast<milliseconds>(of).count();
 }
 
 const char* StatusText(int status) {
@@ -248,6 +242,9 @@
   }
   which->service = fleet_.splitter.Pick(*which->route);
   fleet_.retries.OnCall(which->service, now);
+  if (which->nested) {
+    fleet_.retries.OnNestedCall(which->service, fleet_.repeat_share, now);
+  }
   TryNext(which);
 }
 
@@ -308,8 +305,6 @@
                               instant now) const {
   call_header header;
   header.attempt = which.attempt_id;
-  header.caller_id = which.caller_id;
-  header.service = which.service;
   header.upstream = upstream;
   header.route = which.route->name;
   header.tenant = which.tenant ? which.tenant->name : "";
@@ -322,11 +317,11 @@
   header.rank = tenant_rank * kRoutePriorities + route_rank;
   header.nested = which.nested;
   header.idempotent = which.route->idempotent;
+  header.repeat = which.sent > 0;
   header.budget_ms = Ms(which.deadline - now);
   header.aim_ms = Ms(which.aim_at - now);
   header.typical_ms =
       Ms(fleet_.typical.ExpectOr(which.route->name, which.route->aim / 4));
-  header.config_version = which.config->Version();
   return header;
 }
 
@@ -334,7 +329,7 @@
                       const std::string& address) {
   const instant now = fleet_.loop.Now();
   char attempt_id[40];
-  std::snprintf(attempt_id, sizeof(attempt_id), "%016llx-%llx",
+  std::snprintf(attempt_id, sizeof(attempt_id), "%08llx-%llx",
                 static_cast<unsigned long long>(fleet_.boot),
                 static_cast<unsigned long long>(++last_attempt_));
   which->attempt_id = attempt_id;
@@ -393,7 +388,7 @@
   }
   const duration typical =
       fleet_.typical.ExpectOr(which->route->name, which->route->aim / 4);
-  if (Ms(which->deadline - now) < kLeastRepeatShare * Ms(typical)) return false;
+  if (which->deadline - now < typical) return false;
   if (Candidates(*which, now).size() <= 1) return false;
   return fleet_.retries.TakeRepeat(which->service, now);
 }
@@ -464,7 +459,8 @@
   ++which->sent;
   fleet_.picker.OnDone(which->upstream, failed, now);
   if (!failed) {
-    fleet_.typical.Observe(which->route->name, FromMs(which->told.took_ms));
+    fleet_.typical.Observe(which->route->name,
+                           milliseconds(which->told.took_ms));
   }
   which->may_have_run = true;
   if (failed && which->answer.status != 504 && which->route->idempotent &&
@@ -479,7 +475,7 @@
   const instant now = fleet_.loop.Now();
   ++which->refusals;
   which->last_refusal = told.why;
-  const duration wait = FromMs(told.retry_after_ms);
+  const duration wait = milliseconds(told.retry_after_ms);
   if (which->retry_after.count() == 0 || wait < which->retry_after) {
     which->retry_after = wait;
   }
@@ -664,26 +660,25 @@
   const duration took = now - which->received;
   fleet_.metrics.CountCall(which->RouteName(), status, source,
                            core::ReasonName(why), took);
-  net::Log(
-      core::log_level::kInfo, "call ended",
-      {{"request", which->caller_id},
-       {"status", std::to_string(status)},
-       {"from", source},
-       {"reason", core::ReasonName(why)},
-       {"route", which->RouteName()},
-       {"tenant", which->tenant ? which->tenant->name : ""},
-       {"service", which->service},
-       {"upstream", which->upstream},
-       {"sent", std::to_string(which->sent)},
-       {"refusals", std::to_string(which->refusals)},
-       {"retry_after_ms", MsText(which->retry_after)},
-       {"took_ms", MsText(took)},
-       {"queue_ms", std::to_string(static_cast<int>(which->told.waited_ms))},
-       {"upstream_ms", std::to_string(static_cast<int>(which->told.took_ms))},
-       {"budget_ms", MsText(which->deadline - which->received)},
-       {"config",
-        which->config ? std::to_string(which->config->Version()) : "0"},
-       {"config_age_ms", MsText(now - fleet_.config_at)}});
+  net::Log(core::log_level::kInfo, "call ended",
+           {{"request", which->caller_id},
+            {"status", std::to_string(status)},
+            {"from", source},
+            {"reason", core::ReasonName(why)},
+            {"route", which->RouteName()},
+            {"tenant", which->tenant ? which->tenant->name : ""},
+            {"service", which->service},
+            {"upstream", which->upstream},
+            {"sent", std::to_string(which->sent)},
+            {"refusals", std::to_string(which->refusals)},
+            {"retry_after_ms", MsText(which->retry_after)},
+            {"took_ms", MsText(took)},
+            {"queue_ms", std::to_string(which->told.waited_ms)},
+            {"upstream_ms", std::to_string(which->told.took_ms)},
+            {"budget_ms", MsText(which->deadline - which->received)},
+            {"config",
+             which->config ? std::to_string(which->config->Version()) : "0"},
+            {"config_age_ms", MsText(now - fleet_.config_at)}});
   calls_.erase(which->conn.get());
   if (status != 0) server_.Done(which->conn);
 }
--- a/src/node/news_service.cc
+++ b/src/node/news_service.cc
@@ -66,10 +66,17 @@
 void news_service::Receive() {
   char bytes[kReceiveBytes];
   for (int i = 0; i < kReceivesInTurn; ++i) {
-    const ssize_t size = recv(socket_, bytes, sizeof(bytes), MSG_DONTWAIT);
+    sockaddr_in from{};
+    socklen_t from_size = sizeof(from);
+    const ssize_t size =
+        recvfrom(socket_, bytes, sizeof(bytes), MSG_DONTWAIT,
+                 reinterpret_cast<sockaddr*>(&from), &from_size);
     if (size < 0) return;
+    char address[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &from.sin_addr, address, sizeof(address));
     fleet_.metrics.CountNews(false, static_cast<std::size_t>(size));
-    auto news = mesh::DecodeNews({bytes, static_cast<std::size_t>(size)});
+    auto news =
+        mesh::DecodeNews({bytes, static_cast<std::size_t>(size)}, address);
     if (news) {
       on_news(std::move(*news));
     } else {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -18,8 +18,8 @@
 // News go to every other daemon this often, in a fleet of up to
 // kFastNewsPeers; beyond that the period grows so that a daemon sends about
 // the same number of datagrams a second.
-constexpr duration kNewsPeriod = milliseconds(200);
-constexpr std::size_t kFastNewsPeers = 20;
+constexpr duration kNewsPeriod = milliseconds(300);
+constexpr std::size_t kFastNewsPeers = 25;
 constexpr duration kUpkeepPeriod = milliseconds(100);
 // A peer that knows more is asked if the source hasn't told within this time.
 constexpr duration kMirrorPatience = milliseconds(250);
@@ -33,10 +33,7 @@
 constexpr duration kGraceMargin = milliseconds(400);
 constexpr duration kStopPoll = milliseconds(50);
 
-std::uint64_t RandomNumber() {
-  std::random_device source;
-  return std::uniform_int_distribution<std::uint64_t>()(source);
-}
+std::uint32_t RandomBoot() { return std::random_device{}(); }
 
 }  // namespace
 
@@ -46,7 +43,7 @@
        node_settings settings, adapter with)
       : adapter_(std::move(with)),
         fleet_(loop, timers, std::move(settings), *adapter_.dialect,
-               RandomNumber()),
+               RandomBoot()),
         ingress_(fleet_),
         egress_(fleet_),
         mirror_(fleet_, *adapter_.reader),
@@ -55,8 +52,8 @@
         ready_(loop, fleet_.settings.ready),
         admin_(loop, fleet_.settings.admin) {
     mirror_.on_item = [this](source_area area, const source_item& item,
-                             bool after_outage) {
-      OnItem(area, item, after_outage);
+                             duration lapse_grace) {
+      OnItem(area, item, lapse_grace);
     };
     mirror_.on_settled = [this](source_area) { OnSettled(); };
     news_.on_news = [this](mesh::peer_news news) { OnNews(std::move(news)); };
@@ -118,10 +115,10 @@
   // -------------------------------------------------------------------------
   // The source.
 
-  void OnItem(source_area, const source_item& item, bool after_outage) {
+  void OnItem(source_area, const source_item& item, duration lapse_grace) {
     const instant now = fleet_.loop.Now();
     if (item.removed) {
-      OnRemoved(item, after_outage);
+      OnRemoved(item, lapse_grace);
       return;
     }
     const item_meaning meaning = adapter_.decoder->Decode(item);
@@ -142,17 +139,17 @@
     }
   }
 
-  void OnRemoved(const source_item& item, bool after_outage) {
+  void OnRemoved(const source_item& item, duration lapse_grace) {
     const instant now = fleet_.loop.Now();
     const std::string upstream = adapter_.decoder->UpstreamOfKey(item.key);
     if (!upstream.empty()) {
-      fleet_.directory.Remove(upstream, after_outage, now);
+      fleet_.directory.Remove(upstream, lapse_grace, now);
       fleet_.directory_at = now;
       directory_changed_ = true;
       net::Log(core::log_level::kInfo, "upstream entry removed",
                {{"upstream", upstream},
                 {"revision", std::to_string(item.revision)},
-                {"after_outage", after_outage ? "yes" : "no"}});
+                {"kept_ms", MsText(lapse_grace)}});
       return;
     }
     const item_meaning meaning = adapter_.decoder->Decode(item);
@@ -373,8 +370,9 @@
       ingress_.StopListening();
       SendNews();
     }
+    // An open connection may hold a request that was received and not seen yet.
     const bool idle = handing_over_ && ingress_.Pending() == 0 &&
-                      egress_.IsIdle() &&
+                      ingress_.Connections() == 0 && egress_.IsIdle() &&
                       now - handed_over_at_ >= kHandOverTime;
     if (!idle && age < fleet_.settings.grace - kGraceMargin) return;
     net::Log(core::log_level::kInfo, "stopped",
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -11,7 +11,7 @@
 
 // How long a watch waits at the source. Peers tell of changes that a lost
 // answer hides, so this only sets the load of idle watches.
-constexpr duration kWatchWait = milliseconds(4000);
+constexpr duration kWatchWait = milliseconds(10000);
 // The source answers within a few milliseconds; a slow one takes up to some
 // hundreds.
 constexpr duration kReadTimeout = milliseconds(1500);
@@ -21,8 +21,9 @@
 constexpr duration kLongestRetry = milliseconds(800);
 // A call that was made this lately is not stuck.
 constexpr duration kNudgeAge = milliseconds(150);
-// Items that go missing this long after the source's return may have lapsed.
-constexpr duration kOutageMemory = milliseconds(4000);
+// Items that lapsed while the source was away are back within this time after
+// its return; the platform's stated time.
+constexpr duration kReturnTime = milliseconds(2000);
 
 const char* AreaName(source_area area) {
   return area == source_area::kSettings ? "settings" : "upstreams";
@@ -65,10 +66,10 @@
   return At(area).connected;
 }
 
-bool source_mirror::IsAfterOutage(const area_state& at) const {
-  if (!at.connected) return true;
-  return at.regained_at != instant{} &&
-         fleet_.loop.Now() - at.regained_at < kOutageMemory;
+duration source_mirror::LapseGrace(const area_state& at) const {
+  if (at.regained_at == instant{}) return duration{0};
+  return std::max(duration{0},
+                  at.regained_at + kReturnTime - fleet_.loop.Now());
 }
 
 // ---------------------------------------------------------------------------
@@ -105,7 +106,7 @@
     Read(at, last);
     return;
   }
-  Replace(at, std::move(at->read_items), at->read_revision);
+  Replace(at, std::move(at->read_items), at->read_revision, LapseGrace(*at));
   at->read_items.clear();
   Watch(at);
 }
@@ -130,7 +131,7 @@
   bool changed = false;
   for (const source_item& item : page.items) {
     if (item.removed) {
-      Remove(at, item.key, item.revision);
+      Remove(at, item.key, item.revision, LapseGrace(*at));
       changed = true;
     } else {
       changed = Apply(at, item) || changed;
@@ -205,12 +206,12 @@
   const bool same = !held.key.empty() && held.value == item.value;
   held = item;
   at->change_revision = std::max(at->change_revision, item.revision);
-  if (!same && on_item) on_item(at->area, held, IsAfterOutage(*at));
+  if (!same && on_item) on_item(at->area, held, duration{0});
   return !same;
 }
 
 void source_mirror::Remove(area_state* at, const std::string& key,
-                           std::uint64_t revision) {
+                           std::uint64_t revision, duration lapse_grace) {
   const auto found = at->items.find(key);
   at->change_revision = std::max(at->change_revision, revision);
   if (found == at->items.end()) return;
@@ -219,18 +220,18 @@
   at->items.erase(found);
   gone.removed = true;
   if (revision != 0) gone.revision = revision;
-  if (on_item) on_item(at->area, gone, IsAfterOutage(*at));
+  if (on_item) on_item(at->area, gone, lapse_grace);
 }
 
 void source_mirror::Replace(area_state* at,
                             std::map<std::string, source_item> items,
-                            std::uint64_t revision) {
+                            std::uint64_t revision, duration lapse_grace) {
   if (at->whole && revision < at->revision) return;
   std::vector<std::string> missing;
   for (const auto& [key, held] : at->items) {
     if (items.count(key) == 0) missing.push_back(key);
   }
-  for (const std::string& key : missing) Remove(at, key, 0);
+  for (const std::string& key : missing) Remove(at, key, 0, lapse_grace);
   for (const auto& [key, item] : items) Apply(at, item);
   // Removals that only the read shows are as new as the read itself.
   if (!missing.empty()) at->change_revision = revision;
@@ -251,8 +252,8 @@
         items.push_back(json::array({key, item.value, item.revision}));
       }
     }
-    areas.push_back(json::array(
-        {at.whole, at.revision, at.change_revision, std::move(items)}));
+    areas.push_back(json::array({at.whole, at.revision, at.change_revision,
+                                 std::move(items), LapseGrace(at).count()}));
   }
   std::string bytes;
   json::to_cbor(areas, bytes);
@@ -280,7 +281,8 @@
                {{"area", AreaName(at.area)},
                 {"revision", std::to_string(revision)},
                 {"own_revision", std::to_string(at.revision)}});
-      Replace(&at, std::move(items), std::max(revision, at.revision));
+      const duration grace{from.at(4).get<duration::rep>()};
+      Replace(&at, std::move(items), std::max(revision, at.revision), grace);
       at.change_revision = std::max(at.change_revision, change);
     }
   } catch (const json::exception& problem) {
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -43,9 +43,9 @@
   // Takes a peer's items over where they are newer.
   void Import(std::string_view bytes);
 
-  // An item changed or was removed. `after_outage`: the source was away lately,
-  // so a missing item may only have lapsed.
-  std::function<void(source_area, const source_item&, bool after_outage)>
+  // An item changed or was removed. `lapse_grace`: the source was away lately,
+  // and a missing item may come back within this time; 0 otherwise.
+  std::function<void(source_area, const source_item&, duration lapse_grace)>
       on_item;
   // All changes of one answer were told.
   std::function<void(source_area)> on_settled;
@@ -84,10 +84,12 @@
   void OnAnswered(area_state* at);
   // Replaces all items; tells what differs.
   void Replace(area_state* at, std::map<std::string, source_item> items,
-               std::uint64_t revision);
+               std::uint64_t revision, duration lapse_grace);
   bool Apply(area_state* at, const source_item& item);
-  void Remove(area_state* at, const std::string& key, std::uint64_t revision);
-  bool IsAfterOutage(const area_state& at) const;
+  void Remove(area_state* at, const std::string& key, std::uint64_t revision,
+              duration lapse_grace);
+  // What is left of the time in which lapsed items come back.
+  duration LapseGrace(const area_state& at) const;
 
   fleet_state& fleet_;
   source_reader& reader_;
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -6,10 +6,7 @@
 // - "Not sent" is reported only if the socket took no byte of the request.
 // - Handlers are called on a later turn than `Start`.
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
+#include "net/socket.h"
 #include "pimentohall/stream.h"
 
 namespace pimentohall::stream {
@@ -18,30 +15,10 @@
 constexpr auto kSweepPeriod = std::chrono::seconds(1);
 // A server may close a connection a little before the time that it told.
 constexpr auto kKeepAliveMargin = std::chrono::milliseconds(1500);
-// Kernel probes on a connection without traffic: silence is found after
-// about kProbeIdleS + kProbes * kProbeGapS seconds.
-constexpr int kProbeIdleS = 1;
-constexpr int kProbeGapS = 1;
-constexpr int kProbes = 2;
-
 std::string KeyOf(const net::endpoint& target) {
   return target.address + ":" + std::to_string(target.port);
 }
 
-void SetSilenceLimits(int socket, core::duration silence) {
-  const auto silence_ms = static_cast<unsigned>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
-  const int on = 1;
-  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
-             sizeof(silence_ms));
-  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleS,
-             sizeof(kProbeIdleS));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeGapS,
-             sizeof(kProbeGapS));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
-}
-
 }  // namespace
 
 // ---------------------------------------------------------------------------
@@ -143,7 +120,7 @@
       });
       return which;
     }
-    SetSilenceLimits(which->conn_->Socket(), options_.silence);
+    net::SetSilenceLimit(which->conn_->Socket(), options_.silence);
     timers_.After(
         options_.connect_time,
         sigc::slot<void()>([this, weak = std::weak_ptr<exchange>(which),
