--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -282,6 +282,9 @@
   bool IsHeard(std::string_view address, instant now) const;
   const peer* Find(std::string_view address) const;
   std::size_t CountHeard(instant now) const;
+  // True for `count` of the daemons that hear each other, this one included:
+  // each derives the same ones by itself, spread over the addresses.
+  bool IsOneOf(std::size_t count, instant now) const;
   const std::map<std::string, peer, std::less<>>& Peers() const {
     return peers_;
   }
--- a/src/mesh/peer_table.cc
+++ b/src/mesh/peer_table.cc
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include <algorithm>
 
 #include "pimentohall/mesh.h"
@@ -61,6 +63,18 @@
       }));
 }
 
+bool peer_table::IsOneOf(std::size_t count, instant now) const {
+  const auto rank = [](std::string_view address) {
+    return std::make_pair(XXH32(address.data(), address.size(), 0), address);
+  };
+  const auto own = rank(own_address_);
+  const auto before =
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
+        return now - each.second.heard_at <= kSilence && rank(each.first) < own;
+      });
+  return static_cast<std::size_t>(before) < count;
+}
+
 void peer_table::Forget(instant now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     it = now - it->second.heard_at > kMemory ? peers_.erase(it) : std::next(it);
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -9,9 +9,12 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// How long a watch waits at the source. Peers tell of changes that a lost
-// answer hides, so this only sets the load of idle watches.
+// How long a watch waits at the source. One that the source lost is found only
+// when its time is over, so kScouts daemons ask often, and the others learn
+// from them that they have missed something.
+constexpr duration kScoutWait = milliseconds(1500);
 constexpr duration kWatchWait = milliseconds(10000);
+constexpr std::size_t kScouts = 3;
 // The source answers within a few milliseconds; a slow one takes up to some
 // hundreds.
 constexpr duration kReadTimeout = milliseconds(1500);
@@ -112,10 +115,13 @@
 }
 
 void source_mirror::Watch(area_state* at) {
-  at->asked_at = fleet_.loop.Now();
+  const instant now = fleet_.loop.Now();
+  at->asked_at = now;
   const std::uint64_t generation = ++at->generation;
+  const duration wait =
+      fleet_.peers.IsOneOf(kScouts, now) ? kScoutWait : kWatchWait;
   reader_.Watch(
-      at->area, at->revision, kWatchWait, kWatchWait + kWatchMargin,
+      at->area, at->revision, wait, wait + kWatchMargin,
       [this, at, generation](tl::expected<source_page, source_problem> page) {
         if (generation != at->generation) return;
         if (!page) {
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -185,6 +185,31 @@
   CHECK_FALSE(peers.IsReachable("10.0.0.2", later));
 }
 
+TEST_CASE("daemons agree on a few of them, whoever is lost") {
+  constexpr int kFleet = 12;
+  const auto address = [](int i) { return "10.0.0." + std::to_string(i); };
+  std::vector<peer_table> tables;
+  for (int i = 0; i < kFleet; ++i) tables.emplace_back(address(i), 1);
+  const auto count = [&](const std::set<int>& lost, instant now) {
+    int chosen = 0;
+    for (int i = 0; i < kFleet; ++i) {
+      if (lost.count(i) != 0) continue;
+      for (int from = 0; from < kFleet; ++from) {
+        if (from == i || lost.count(from) != 0) continue;
+        const auto sequence =
+            static_cast<std::uint64_t>(now.time_since_epoch().count());
+        tables[static_cast<std::size_t>(i)].OnNews(
+            NewsFrom(address(from), 2, sequence), now);
+      }
+      if (tables[static_cast<std::size_t>(i)].IsOneOf(3, now)) ++chosen;
+    }
+    return chosen;
+  };
+  CHECK(count({}, kStart) == 3);
+  CHECK(count({0, 1, 2, 3}, kStart + seconds(2)) == 3);
+  CHECK(count({4, 5, 6, 7, 8, 9}, kStart + seconds(4)) == 3);
+}
+
 TEST_CASE("news survive encoding, and other bytes are refused") {
   peer_news news = NewsFrom("10.0.0.2", 0xfffffffeU, 1ULL << 40);
   news.uptime_ms = 123456;
--- /dev/null
+++ b/testing/unit/node_test.cc
@@ -0,0 +1,324 @@
+// Whole daemons against stand-ins: what callers and upstreams see.
+
+#include "node_fixture.h"
+
+namespace pimentohall::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::store_mode;
+
+TEST_CASE("a call is answered whole, for the tenant of its key") {
+  node_fleet fleet(2);
+  fleet.Start();
+  const auto call = fleet.Call(0, "POST", "/write/1?x=2", "the body",
+                               {{"Authorization", "Token key-1"},
+                                {"X-Tenant-Id", "forged"},
+                                {"X-Caller-Service", "forged"},
+                                {"X-Pimentohall-Call", "[]"},
+                                {"X-Pimentohall-Outcome", "[0]"},
+                                {"X-Other", "kept"}});
+  CHECK(call->status == 200);
+  CHECK(call->body == "hello");
+  CHECK(net::FindHeader(call->headers, "X-Response-Seal") == "seal");
+  CHECK(net::FindHeader(call->headers, "X-Pimentohall-Outcome").empty());
+  REQUIRE(fleet.Runs() == 1);
+  const auto& at = fleet.upstreams[fleet.upstreams[0]->Runs() == 1 ? 0 : 1];
+  const stream::message_head& seen = at->requests.at(0);
+  CHECK(seen.method == "POST");
+  CHECK(seen.target == "/write/1?x=2");
+  CHECK(at->bodies.at(0) == "the body");
+  CHECK(net::FindHeader(seen.headers, "X-Tenant-Id") == "t1");
+  CHECK(net::FindHeader(seen.headers, "X-Caller-Service") == "service-0");
+  CHECK(net::FindHeader(seen.headers, "X-Other") == "kept");
+  CHECK(net::FindHeader(seen.headers, "Authorization").empty());
+  CHECK(net::FindHeader(seen.headers, "X-Pimentohall-Call").empty());
+  const std::string budget(net::FindHeader(seen.headers, "X-Deadline-Ms"));
+  CHECK(std::stoi(budget) <= 1500);
+  CHECK(std::stoi(budget) > 1000);
+}
+
+TEST_CASE("what isn't allowed is refused with the right status") {
+  node_fleet fleet(1);
+  fleet.StartNode(0);
+  // No configuration is known: not 404, not 401.
+  fleet.RunFor(milliseconds(100));
+  const auto early = fleet.Call(0, "GET", "/read/1");
+  CHECK(early->status == 503);
+  CHECK_FALSE(net::FindHeader(early->headers, "Retry-After").empty());
+  fleet.PutConfig("r1");
+  fleet.PutEntry(0);
+  fleet.RunFor(milliseconds(800));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 200);
+  CHECK(fleet.Call(0, "GET", "/none/1")->status == 404);
+  const std::string wrong_key = "Token key-2";
+  CHECK(fleet.Call(0, "GET", "/read/1", "", {{"Authorization", wrong_key}})
+            ->status == 401);
+  CHECK(fleet.Call(0, "GET", "/read/1", "", {{"X-None", "1"}})->status == 401);
+  CHECK(fleet.Call(0, "PUT", "/write/1", std::string(9000000, 'x'))->status ==
+        413);
+}
+
+TEST_CASE("a key that was taken away stops, an older version changes nothing") {
+  node_fleet fleet(1);
+  fleet.Start();
+  fleet.config["tenants"][0]["apiKeys"] = {"key-9"};
+  fleet.PutConfig("r3");
+  fleet.RunFor(milliseconds(100));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 401);
+  fleet.config["tenants"][0]["apiKeys"] = {"key-1"};
+  fleet.PutConfig("r2");
+  fleet.RunFor(milliseconds(100));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 401);
+}
+
+TEST_CASE("a lost answer is repeated only where that is allowed") {
+  node_fleet fleet(2);
+  fleet.Start();
+  for (auto& each : fleet.upstreams) {
+    each->script = [](const std::shared_ptr<stream::connection>& conn,
+                      const std::string&) { conn->Close(); };
+  }
+  const auto write = fleet.Call(0, "POST", "/write/1", "x");
+  CHECK(write->status == 502);
+  CHECK(fleet.Runs() == 1);
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 502);
+  CHECK(fleet.Runs() == 3);
+  // One sound upstream is enough for a read.
+  fleet.upstreams[1]->script = nullptr;
+  CHECK(fleet.Call(0, "GET", "/read/2")->status == 200);
+}
+
+TEST_CASE("a cut answer never looks whole") {
+  node_fleet fleet(1);
+  fleet.Start();
+  for (const std::size_t bytes : {std::size_t{10}, std::size_t{300000}}) {
+    fleet.upstreams[0]->script =
+        [bytes](const std::shared_ptr<stream::connection>& conn,
+                const std::string& id) {
+          stream::message_head head;
+          head.status = 200;
+          head.headers = {{"X-Attempt-Id", id}};
+          head.framing = stream::body_framing::kLength;
+          head.length = bytes;
+          conn->SendHead(head);
+          conn->SendData(std::string(bytes - 5, 'x'));
+          conn->on_drained = [conn] { conn->Close(); };
+        };
+    const auto call = fleet.Call(0, "POST", "/write/1", "x");
+    CAPTURE(bytes);
+    CHECK((call->failed || call->status == 502));
+  }
+}
+
+TEST_CASE("long bodies pass both ways") {
+  node_fleet fleet(2);
+  fleet.Start();
+  const std::string body(3000000, 'b');
+  const std::string answer(2000000, 'a');
+  for (auto& each : fleet.upstreams) {
+    upstream_standin* const at = each.get();
+    each->script = [at, &answer](const std::shared_ptr<stream::connection>& c,
+                                 const std::string& id) {
+      at->Answer(c, id, 200, answer);
+    };
+  }
+  const auto call = fleet.Call(0, "PUT", "/write/1", body);
+  CHECK(call->status == 200);
+  CHECK(call->body == answer);
+  CHECK(fleet.Runs() == 1);
+  for (const auto& each : fleet.upstreams) {
+    for (const std::string& got : each->bodies) CHECK(got == body);
+  }
+}
+
+TEST_CASE("an upstream that sheds is left for another, and told truly") {
+  node_fleet fleet(2);
+  fleet.Start();
+  fleet.upstreams[0]->sheds = true;
+  for (int i = 0; i < 5; ++i) {
+    CHECK(fleet.Call(0, "POST", "/write/1", "x")->status == 200);
+  }
+  fleet.upstreams[1]->sheds = true;
+  const int before = fleet.Runs();
+  const auto refused = fleet.Call(0, "POST", "/write/2", "x");
+  CHECK(refused->status == 503);
+  CHECK_FALSE(net::FindHeader(refused->headers, "Retry-After").empty());
+  CHECK(fleet.Runs() == before);
+}
+
+TEST_CASE("a caller that leaves is cancelled at the upstream") {
+  node_fleet fleet(1);
+  fleet.Start();
+  fleet.upstreams[0]->script = [](const std::shared_ptr<stream::connection>&,
+                                  const std::string&) {};
+  const auto call = fleet.Begin(0, "GET", "/read/1");
+  CHECK(fleet.net.RunUntil([&] { return fleet.Runs() == 1; }));
+  const int before = fleet.upstreams[0]->closed;
+  call->exchange->Cancel();
+  const core::instant left = fleet.net.loop.Now();
+  CHECK(
+      fleet.net.RunUntil([&] { return fleet.upstreams[0]->closed > before; }));
+  CHECK(fleet.net.loop.Now() - left < milliseconds(500));
+}
+
+TEST_CASE("silence ends at the sooner of budget and timeout") {
+  node_fleet fleet(1);
+  fleet.Start();
+  fleet.upstreams[0]->script = [](const std::shared_ptr<stream::connection>&,
+                                  const std::string&) {};
+  for (const char* budget : {"300", "9000"}) {
+    const core::instant began = fleet.net.loop.Now();
+    const auto call = fleet.Call(0, "POST", "/write/1", "x", {}, budget);
+    const auto took = fleet.net.loop.Now() - began;
+    CHECK(call->status == 504);
+    const auto due = milliseconds(std::min(std::stoi(budget), 1500));
+    CHECK(took >= due - milliseconds(20));
+    CHECK(took < due + milliseconds(250));
+  }
+}
+
+TEST_CASE("upstreams that leave get no more calls") {
+  node_fleet fleet(2);
+  fleet.Start();
+  fleet.PutEntry(0, "draining");
+  fleet.RunFor(milliseconds(100));
+  for (int i = 0; i < 4; ++i) {
+    CHECK(fleet.Call(i % 2, "GET", "/read/1")->status == 200);
+  }
+  CHECK(fleet.upstreams[0]->Runs() == 0);
+  fleet.PutEntry(0);
+  fleet.store.Remove("servers/i-1");
+  fleet.RunFor(milliseconds(400));
+  for (int i = 0; i < 4; ++i) {
+    CHECK(fleet.Call(i % 2, "GET", "/read/1")->status == 200);
+  }
+  CHECK(fleet.upstreams[1]->Runs() == 4);
+  // Bytes that can't be read name no upstream; the others hold.
+  fleet.PutEntry(1);
+  fleet.store.Put("servers/i-0", "\xff not an entry");
+  fleet.RunFor(milliseconds(400));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 200);
+  CHECK(fleet.upstreams[1]->Runs() == 5);
+  fleet.store.Put("op/evacuate/z", "{}");
+  fleet.RunFor(milliseconds(100));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 503);
+  fleet.store.Remove("op/evacuate/z");
+  fleet.RunFor(milliseconds(400));
+  CHECK(fleet.Call(0, "GET", "/read/1")->status == 200);
+}
+
+TEST_CASE("a daemon that the store turns away learns from its peers") {
+  node_fleet fleet(2);
+  fleet.stores[1] =
+      std::make_unique<testing::store_standin>(fleet.net.loop.Base());
+  fleet.stores[1]->SetMode(store_mode::kSilent);
+  fleet.PutConfig("r1");
+  fleet.PutEntry(0);
+  fleet.PutEntry(1);
+  fleet.StartNode(0);
+  fleet.StartNode(1);
+  const auto wait_for = [&fleet](int status) {
+    int seen = 0;
+    for (int i = 0; i < 40 && seen != status; ++i) {
+      fleet.RunFor(milliseconds(50));
+      seen = fleet.Call(1, "GET", "/read/1")->status;
+    }
+    return seen;
+  };
+  CHECK(wait_for(200) == 200);
+  fleet.config["tenants"][0]["apiKeys"] = {"key-9"};
+  const core::instant began = fleet.net.loop.Now();
+  fleet.PutConfig("r2");
+  CHECK(wait_for(401) == 401);
+  CHECK(fleet.net.loop.Now() - began < seconds(2));
+}
+
+TEST_CASE("what is known holds while the store is away") {
+  node_fleet fleet(2);
+  fleet.Start();
+  for (const store_mode mode :
+       {store_mode::kSilent, store_mode::kBusy, store_mode::kGarbage}) {
+    fleet.store.SetMode(mode);
+    fleet.store.Compact();
+    fleet.RunFor(milliseconds(300));
+    CHECK(fleet.Call(0, "GET", "/read/1")->status == 200);
+  }
+  fleet.store.SetMode(store_mode::kServing);
+  fleet.config["routes"][0]["prefix"] = "/moved/";
+  fleet.PutConfig("r2");
+  int status = 0;
+  for (int i = 0; i < 60 && status != 404; ++i) {
+    fleet.RunFor(milliseconds(50));
+    status = fleet.Call(0, "GET", "/read/1")->status;
+  }
+  CHECK(status == 404);
+}
+
+TEST_CASE("a planned stop finishes what it holds") {
+  node_fleet fleet(2);
+  fleet.Start();
+  std::vector<std::function<void()>> answers;
+  for (auto& each : fleet.upstreams) {
+    upstream_standin* const at = each.get();
+    each->script = [&answers, at](const std::shared_ptr<stream::connection>& c,
+                                  const std::string& id) {
+      answers.emplace_back([at, c, id] { at->Answer(c, id, 200, "late"); });
+    };
+  }
+  const auto running = fleet.Begin(0, "POST", "/write/1", "x");
+  CHECK(fleet.net.RunUntil([&] { return answers.size() == 1; }));
+  fleet.nodes[0]->BeginStop();
+  fleet.RunFor(milliseconds(300));
+  answers[0]();
+  CHECK(fleet.net.RunUntil([&] { return running->ended; }));
+  CHECK(running->status == 200);
+  CHECK(running->body == "late");
+}
+
+TEST_CASE("a cold upstream gets few calls") {
+  node_fleet fleet(1);
+  fleet.upstreams[0]->warmup_ms = "60000";
+  fleet.PutConfig("r1");
+  fleet.PutEntry(0);
+  fleet.StartNode(0);
+  fleet.RunFor(milliseconds(800));
+  std::vector<std::shared_ptr<caller_exchange>> calls;
+  for (int i = 0; i < 60; ++i)
+    calls.push_back(fleet.Begin(0, "GET", "/read/1"));
+  fleet.RunFor(milliseconds(1000));
+  CHECK(fleet.upstreams[0]->probes >= 1);
+  CHECK(fleet.Runs() >= 5);
+  CHECK(fleet.Runs() <= 10 * 1.5 + 5);
+}
+
+TEST_CASE("the pages of operators") {
+  node_fleet fleet(1);
+  fleet.Start();
+  net::http_client client(fleet.net.loop, fleet.net.timers);
+  const auto get = [&](int port, const std::string& path) {
+    net::http_request request;
+    request.target = {node_fleet::Address(0), fleet.ports[port]};
+    request.path = path;
+    request.timeout = seconds(2);
+    std::string body;
+    bool done = false;
+    client.Start(request, [&](const auto& answer) {
+      done = true;
+      if (answer) body = std::to_string(answer->status) + " " + *answer->body;
+    });
+    CHECK(fleet.net.RunUntil([&done] { return done; }));
+    return body;
+  };
+  CHECK(get(node_fleet::kReady, "/api/ready").substr(0, 3) == "200");
+  const std::string metrics = get(node_fleet::kAdmin, "/metrics");
+  CHECK(metrics.find("pimentohall_config_version 1") != std::string::npos);
+  CHECK(metrics.find("pimentohall_call_seconds_bucket") != std::string::npos);
+  const std::string state = get(node_fleet::kAdmin, "/state");
+  CHECK(state.find("\"config_version\": 1") != std::string::npos);
+  CHECK(state.find("key-1") == std::string::npos);
+}
+
+}  // namespace
+}  // namespace pimentohall::node
