Tell the fleet's next token; give unused tokens to anyone

Cause: a tenant over its rate got a Retry-After of the daemon's own part, came back after its aim, and its tokens went to late answers; paced daemons left tokens unused. Change: Retry-After is the time of the fleet's next token; with half the burst left nobody is held to its part. Changes of the source are read in batches.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -323,6 +323,8 @@
   static constexpr double kStartLevel = 0.25;
   // The fleet counts as asked for too much above this part of the rate.
   static constexpr double kPacedAbove = 1.05;
+  // With this part of the burst left, nobody is held to its part.
+  static constexpr double kFreeShare = 0.5;
   // What a paced daemon may save up, in seconds of its part of the rate.
   static constexpr double kPacedBurstS = 0.25;
   // Debt is forgotten beyond this many seconds of the rate.
--- a/src/mesh/allotment.cc
+++ b/src/mesh/allotment.cc
@@ -93,18 +93,17 @@
   NoteDemand(&at, now);
   UpdatePart(found->first, &at, now);
   Refill(&at, now);
-  if (at.level >= 1 && (!at.is_paced || at.paced >= 1)) {
+  const bool is_free =
+      !at.is_paced || at.paced >= 1 || at.level >= at.burst * kFreeShare;
+  if (at.level >= 1 && is_free) {
     at.level -= 1;
     at.paced = std::max(0.0, at.paced - 1);
     ++at.admitted;
     return {};
   }
+  // The fleet's next token: the caller may come back at another daemon.
   const double rate = std::max(0.001, at.rate_per_s * share_);
-  double wait_s = std::max(0.0, 1 - at.level) / rate;
-  if (at.is_paced) {
-    wait_s =
-        std::max(wait_s, (1 - at.paced) / (rate * std::max(0.01, at.part)));
-  }
+  const double wait_s = std::max(1.0, 1 - at.level) / rate;
   return tl::unexpected(std::chrono::duration_cast<duration>(
       std::chrono::duration<double>(wait_s)));
 }
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -19,6 +19,9 @@
 // hundreds.
 constexpr duration kReadTimeout = milliseconds(1500);
 constexpr duration kWatchMargin = milliseconds(800);
+// Wait after an answer with changes, so that changes in quick succession come
+// in one answer.
+constexpr duration kBatchTime = milliseconds(250);
 // First wait after a failed call; doubled with each failure in a row.
 constexpr duration kFirstRetry = milliseconds(100);
 constexpr duration kLongestRetry = milliseconds(800);
@@ -145,7 +148,14 @@
   }
   at->revision = std::max(at->revision, page.revision);
   if (changed && on_settled) on_settled(at->area);
-  Watch(at);
+  if (page.items.empty()) {
+    Watch(at);
+    return;
+  }
+  ++at->generation;
+  at->retry_timer.disconnect();
+  at->retry_timer = fleet_.timers.After(
+      kBatchTime, sigc::slot<void()>([this, at] { Watch(at); }));
 }
 
 void source_mirror::OnAnswered(area_state* at) {
