Check estimates by trying; skip replaced starts

Change: with a free slot a call is tried; estimates without new calls fade; an entry with a newer start at its address gets nothing.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -187,7 +187,8 @@
   const std::set<std::string>& ZonesOut() const { return zones_out_; }
 
   const std::map<std::string, entry>& Entries() const { return entries_; }
-  // Entries of this service that may get calls: not draining, zone in service.
+  // Entries of this service that may get calls: not draining, zone in service,
+  // and no newer start at the same address.
   std::vector<const entry*> Usable(std::string_view service) const;
   // The newest start at this address, or null.
   const entry* FindByAddress(std::string_view address, int port) const;
@@ -477,21 +478,23 @@
   std::unordered_map<std::string, state> states_;
 };
 
-// Mean time of calls by key (a route), from those that were measured.
+// Mean time of calls by key (a route), from those that were measured. A mean
+// without new calls fades into the caller's fallback: one that is too high
+// would keep calls away, and so never be corrected.
 class time_estimator {
  public:
-  explicit time_estimator(duration initial) : initial_(initial) {}
-  void Observe(const std::string& key, duration took);
-  duration Expect(const std::string& key) const;
-  // Expect, or `fallback` if nothing was measured yet.
-  duration ExpectOr(const std::string& key, duration fallback) const;
+  static constexpr double kHalfLifeS = 2.0;
+
+  void Observe(const std::string& key, duration took, instant now);
+  // The mean, or `fallback` as far as nothing was measured lately.
+  duration Expect(const std::string& key, duration fallback, instant now) const;
 
  private:
   struct mean {
     double ms = 0;
     int count = 0;
+    instant at{};
   };
-  duration initial_;
   std::unordered_map<std::string, mean> means_;
 };
 
@@ -525,7 +528,8 @@
   static constexpr std::size_t kMaxWaiting = 512;
 
   // Refuses what can't end in time behind what waits and runs already.
-  // `running` is the expected rest of the running calls together.
+  // `running` is the expected rest of the running calls together; 0: a slot is
+  // free.
   tl::expected<void, work_refusal> Push(const work_item& item, int slots,
                                         duration running, instant now);
   // Removes and returns the call to start now; none if nothing waits that can
--- a/src/mesh/directory.cc
+++ b/src/mesh/directory.cc
@@ -50,6 +50,8 @@
   for (const auto& [id, each] : entries_) {
     if (each.what.service != service || each.what.draining) continue;
     if (zones_out_.count(each.what.zone) != 0) continue;
+    // The entry of a start that ended stays for a while.
+    if (FindByAddress(each.what.address, each.what.port) != &each) continue;
     usable.push_back(&each);
   }
   return usable;
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -99,24 +99,27 @@
   return scored[Random() % equal].second;
 }
 
-void time_estimator::Observe(const std::string& key, duration took) {
+void time_estimator::Observe(const std::string& key, duration took,
+                             instant now) {
   constexpr int kWeightAfter = 20;  // Calls; a running mean before that.
   mean& at = means_[key];
   at.count = std::min(at.count + 1, kWeightAfter);
   const double ms = std::chrono::duration<double, std::milli>(took).count();
   at.ms += (ms - at.ms) / at.count;
+  at.at = now;
 }
 
-duration time_estimator::Expect(const std::string& key) const {
-  return ExpectOr(key, initial_);
-}
-
-duration time_estimator::ExpectOr(const std::string& key,
-                                  duration fallback) const {
+duration time_estimator::Expect(const std::string& key, duration fallback,
+                                instant now) const {
   const auto found = means_.find(key);
-  if (found == means_.end() || found->second.count == 0) return fallback;
+  if (found == means_.end()) return fallback;
+  const std::chrono::duration<double> age = now - found->second.at;
+  const double weight = std::exp2(-age.count() / kHalfLifeS);
+  const double other =
+      std::chrono::duration<double, std::milli>(fallback).count();
+  const double ms = other + (found->second.ms - other) * weight;
   return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double, std::milli>(found->second.ms));
+      std::chrono::duration<double, std::milli>(ms));
 }
 
 }  // namespace pimentohall::mesh
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -81,14 +81,17 @@
   work_refusal refusal;
   refusal.retry_after = std::max(kLeastRetryAfter, all);
   if (items_.size() >= kMaxWaiting) return tl::unexpected(refusal);
+  // With room at once nothing is lost by a try, and the estimate gets checked.
+  if (items_.empty() && running.count() == 0 && now < item.deadline) {
+    NoteOnTime(item, now);
+    items_.push_back(item);
+    return {};
+  }
   if (now + Scale(item.expected, kLeastTimeShare) > item.deadline) {
     refusal.why = core::reason::kDeadline;
     return tl::unexpected(refusal);
   }
-  const bool has_free_slot = items_.empty() && running.count() == 0;
-  duration wait = has_free_slot
-                      ? duration{0}
-                      : Scale(WorkBefore(item, now) + running, 1.0 / slots);
+  duration wait = Scale(WorkBefore(item, now) + running, 1.0 / slots);
   if (IsInTime(item, now + wait)) {
     NoteOnTime(item, now);
     items_.push_back(item);
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -389,7 +389,8 @@
 duration egress::ExpectedTime(const call_header& of) const {
   const auto usual = std::chrono::duration<double, std::milli>(
       static_cast<double>(of.typical_ms) * slowness_);
-  return times_.ExpectOr(of.route, std::chrono::duration_cast<duration>(usual));
+  return times_.Expect(of.route, std::chrono::duration_cast<duration>(usual),
+                       fleet_.loop.Now());
 }
 
 duration egress::RunningWork(instant now) const {
@@ -445,9 +446,6 @@
     }
     return;
   }
-  for (const mesh::work_item& each : queue_.Expire(now)) {
-    Refuse(calls_.at(each.id), core::reason::kDeadline, kDefaultRetryAfter);
-  }
   // Until the upstream's first word nothing is known of a cold start.
   if (state_ == upstream_state::kUnknown) return;
   while (queue_.Size() > 0 &&
@@ -463,6 +461,9 @@
       StartCall(which);
     }
   }
+  for (const mesh::work_item& each : queue_.Expire(now)) {
+    Refuse(calls_.at(each.id), core::reason::kDeadline, kDefaultRetryAfter);
+  }
   ScheduleWake();
 }
 
@@ -588,7 +589,7 @@
     what = outcome::kShed;
     why = core::reason::kShed;
   } else if (which->answer.status < 300) {
-    times_.Observe(which->info.route, took);
+    times_.Observe(which->info.route, took, now);
     const duration typical = std::max<duration>(
         milliseconds(1), milliseconds(which->info.typical_ms));
     const double ratio = std::clamp(static_cast<double>(took.count()) /
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -117,7 +117,7 @@
   std::deque<std::pair<instant, std::string>> barred_order_;
   mesh::work_queue queue_;
   mesh::warmup_gate gate_;
-  mesh::time_estimator times_{std::chrono::milliseconds(50)};
+  mesh::time_estimator times_;
   double slowness_ = 1;
   instant wake_at_ = instant::max();
   sigc::connection wake_timer_;
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -48,7 +48,14 @@
   mesh::retry_budget retries;
   mesh::target_picker picker;
   // Usual time of calls by route, over the fleet.
-  mesh::time_estimator typical{std::chrono::milliseconds(100)};
+  mesh::time_estimator typical;
+
+  // The usual time of a call on this route. Before any was measured, the aim
+  // tells its size.
+  duration TypicalTime(const mesh::route& of) const {
+    constexpr int kAimParts = 4;
+    return typical.Expect(of.name, of.aim / kAimParts, loop.Now());
+  }
   node_metrics metrics;
   bool stopping = false;
   // Share of the calls running at this VM's upstream that are repeats.
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -288,8 +288,7 @@
     return;
   }
   const auto candidates = Candidates(*which, now);
-  const duration typical =
-      fleet_.typical.ExpectOr(which->route->name, which->route->aim / 4);
+  const duration typical = fleet_.TypicalTime(*which->route);
   const auto best = fleet_.picker.Pick(candidates, which->tried, typical, now);
   if (!best || which->refusals >= kMaxRefusals) {
     RefuseAsFull(which, which->last_refusal != core::reason::kNone
@@ -320,8 +319,7 @@
   header.repeat = which.sent > 0;
   header.budget_ms = Ms(which.deadline - now);
   header.aim_ms = Ms(which.aim_at - now);
-  header.typical_ms =
-      Ms(fleet_.typical.ExpectOr(which.route->name, which.route->aim / 4));
+  header.typical_ms = Ms(fleet_.TypicalTime(*which.route));
   return header;
 }
 
@@ -386,8 +384,7 @@
   if (which->streams_body || which->sent >= which->route->max_attempts) {
     return false;
   }
-  const duration typical =
-      fleet_.typical.ExpectOr(which->route->name, which->route->aim / 4);
+  const duration typical = fleet_.TypicalTime(*which->route);
   if (which->deadline - now < typical) return false;
   if (Candidates(*which, now).size() <= 1) return false;
   return fleet_.retries.TakeRepeat(which->service, now);
@@ -460,7 +457,7 @@
   fleet_.picker.OnDone(which->upstream, failed, now);
   if (!failed) {
     fleet_.typical.Observe(which->route->name,
-                           milliseconds(which->told.took_ms));
+                           milliseconds(which->told.took_ms), now);
   }
   which->may_have_run = true;
   if (failed && which->answer.status != 504 && which->route->idempotent &&
