--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -333,7 +333,7 @@
 
   explicit allotment_table(instant start) : start_(start) {}
 
-  void SetConfiguration(std::shared_ptr<const configuration> config,
+  void SetConfiguration(const std::shared_ptr<const configuration>& config,
                         instant now);
   // Admits a call of the tenant, or returns when to come back.
   tl::expected<void, duration> Admit(const tenant& from, instant now);
--- a/src/mesh/allotment.cc
+++ b/src/mesh/allotment.cc
@@ -63,7 +63,7 @@
 }
 
 void allotment_table::SetConfiguration(
-    std::shared_ptr<const configuration> config, instant now) {
+    const std::shared_ptr<const configuration>& config, instant now) {
   std::unordered_map<std::uint32_t, bucket> next;
   for (const tenant& each : config->Parts().tenants) {
     if (each.rate_per_s <= 0) continue;
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -98,6 +98,12 @@
   bool streams_answer = false;  // Its head went out to the caller.
   bool asking = false;          // Waiting for a daemon's word on the attempt.
 
+  // A failure that an upstream answered, kept while another is tried: if no
+  // better answer comes, the caller gets this one.
+  stream::message_head failure;
+  std::string failure_body;
+  bool has_failure = false;
+
   std::vector<std::string> tried;
   int sent = 0;  // Attempts that reached an upstream.
   bool may_have_run = false;
@@ -462,12 +468,25 @@
   which->may_have_run = true;
   if (failed && which->answer.status != 504 && which->route->idempotent &&
       MayRepeat(which, now)) {
+    which->failure = std::move(which->answer);
+    which->failure_body = std::move(which->answer_body);
+    which->has_failure = true;
     TryNext(which);
     return;
   }
   Relay(which);
 }
 
+bool ingress::RelayFailure(const call_ptr& which) {
+  if (!which->has_failure) return false;
+  if (which->attempt) which->attempt->Cancel();
+  which->attempt = nullptr;
+  which->answer = std::move(which->failure);
+  which->answer_body = std::move(which->failure_body);
+  Relay(which);
+  return true;
+}
+
 void ingress::OnRefused(const call_ptr& which, const outcome_header& told) {
   const instant now = fleet_.loop.Now();
   ++which->refusals;
@@ -514,6 +533,7 @@
     TryNext(which);
     return;
   }
+  if (RelayFailure(which)) return;
   const int status = why == core::reason::kDeadline ? 504 : 502;
   Refuse(which, status, why, {});
 }
@@ -610,6 +630,7 @@
 }
 
 void ingress::RefuseAsFull(const call_ptr& which, core::reason why) {
+  if (RelayFailure(which)) return;
   // An earlier attempt may have run, so "not run" would be untrue.
   if (which->may_have_run) {
     Refuse(which, 502, why, {});
@@ -693,6 +714,7 @@
     server_.Abort(which->conn);
     return;
   }
+  if (RelayFailure(which)) return;
   if (may_run || which->may_have_run) {
     Refuse(which, 504, core::reason::kDeadline, {});
     return;
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -67,6 +67,8 @@
   bool MayRepeat(const call_ptr& which, instant now);
 
   void Relay(const call_ptr& which);
+  // Passes on a failure that was kept; false if there is none.
+  bool RelayFailure(const call_ptr& which);
   void Refuse(const call_ptr& which, int status, core::reason why,
               duration retry_after);
   void RefuseAsFull(const call_ptr& which, core::reason why);
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -112,7 +112,7 @@
     Read(at, last);
     return;
   }
-  Replace(at, std::move(at->read_items), at->read_revision, LapseGrace(*at));
+  Replace(at, at->read_items, at->read_revision, LapseGrace(*at));
   at->read_items.clear();
   Watch(at);
 }
@@ -130,12 +130,12 @@
         if (!page) {
           OnProblem(at, page.error());
         } else {
-          OnEvents(at, std::move(*page));
+          OnEvents(at, *page);
         }
       });
 }
 
-void source_mirror::OnEvents(area_state* at, source_page page) {
+void source_mirror::OnEvents(area_state* at, const source_page& page) {
   OnAnswered(at);
   bool changed = false;
   for (const source_item& item : page.items) {
@@ -240,7 +240,7 @@
 }
 
 void source_mirror::Replace(area_state* at,
-                            std::map<std::string, source_item> items,
+                            const std::map<std::string, source_item>& items,
                             std::uint64_t revision, duration lapse_grace) {
   if (at->whole && revision < at->revision) return;
   std::vector<std::string> missing;
@@ -298,7 +298,7 @@
                 {"revision", std::to_string(revision)},
                 {"own_revision", std::to_string(at.revision)}});
       const duration grace{from.at(4).get<duration::rep>()};
-      Replace(&at, std::move(items), std::max(revision, at.revision), grace);
+      Replace(&at, items, std::max(revision, at.revision), grace);
       at.change_revision = std::max(at.change_revision, change);
     }
   } catch (const json::exception& problem) {
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -189,6 +189,7 @@
   constexpr int kFleet = 12;
   const auto address = [](int i) { return "10.0.0." + std::to_string(i); };
   std::vector<peer_table> tables;
+  tables.reserve(kFleet);
   for (int i = 0; i < kFleet; ++i) tables.emplace_back(address(i), 1);
   const auto count = [&](const std::set<int>& lost, instant now) {
     int chosen = 0;
@@ -280,7 +281,8 @@
     while (now < end) {
       now += kStep;
       due += per_s * std::chrono::duration<double>(kStep).count();
-      for (; due >= 1; due -= 1) {
+      while (due >= 1) {
+        due -= 1;
         for (allotment_table& each : tables) {
           if (each.Admit(tenant_used, now)) ++admitted;
         }
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -249,7 +249,7 @@
       head.length = body.size();
     }
     stream::exchange_handlers handlers;
-    handlers.on_head = [call](stream::message_head answer) {
+    handlers.on_head = [call](const stream::message_head& answer) {
       call->status = answer.status;
       call->headers = answer.headers;
     };
@@ -274,8 +274,7 @@
                                         const std::string& body = "",
                                         net::header_list headers = {},
                                         const std::string& budget = "2000") {
-    const auto call =
-        Begin(node, method, path, body, std::move(headers), budget);
+    auto call = Begin(node, method, path, body, std::move(headers), budget);
     CHECK(net.RunUntil([&call] { return call->ended; }));
     return call;
   }
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -56,8 +56,9 @@
   CHECK(fleet.Call(0, "GET", "/read/1", "", {{"Authorization", wrong_key}})
             ->status == 401);
   CHECK(fleet.Call(0, "GET", "/read/1", "", {{"X-None", "1"}})->status == 401);
-  CHECK(fleet.Call(0, "PUT", "/write/1", std::string(9000000, 'x'))->status ==
-        413);
+  std::string long_body(1000, 'x');
+  while (long_body.size() < 9000000) long_body += long_body;
+  CHECK(fleet.Call(0, "PUT", "/write/1", long_body)->status == 413);
 }
 
 TEST_CASE("a key that was taken away stops, an older version changes nothing") {
@@ -115,8 +116,10 @@
 TEST_CASE("long bodies pass both ways") {
   node_fleet fleet(2);
   fleet.Start();
-  const std::string body(3000000, 'b');
-  const std::string answer(2000000, 'a');
+  std::string body(1000, 'b');
+  while (body.size() < 3000000) body += body;
+  std::string answer(1000, 'a');
+  while (answer.size() < 2000000) answer += answer;
   for (auto& each : fleet.upstreams) {
     upstream_standin* const at = each.get();
     each->script = [at, &answer](const std::shared_ptr<stream::connection>& c,
@@ -148,6 +151,29 @@
   CHECK(fleet.Runs() == before);
 }
 
+// tsurumaki scale-1: a failure that an upstream had answered was replaced by a
+// 502 when the repeat was refused elsewhere.
+TEST_CASE("an upstream's own failure is passed on when no repeat succeeds") {
+  node_fleet fleet(2);
+  fleet.Start();
+  upstream_standin* const failing = fleet.upstreams[0].get();
+  failing->script = [failing](const std::shared_ptr<stream::connection>& conn,
+                              const std::string& id) {
+    failing->Answer(conn, id, 500, "broken", {{"X-Response-Seal", "s500"}});
+  };
+  fleet.upstreams[1]->sheds = true;
+  int passed_on = 0;
+  for (int i = 0; i < 6; ++i) {
+    const auto call = fleet.Call(0, "GET", "/read/1");
+    if (call->status != 500) continue;
+    CHECK(call->body == "broken");
+    CHECK(net::FindHeader(call->headers, "X-Response-Seal") == "s500");
+    ++passed_on;
+  }
+  CHECK(passed_on >= 1);
+  CHECK(fleet.upstreams[1]->requests.size() >= 1);
+}
+
 TEST_CASE("a caller that leaves is cancelled at the upstream") {
   node_fleet fleet(1);
   fleet.Start();
@@ -285,8 +311,10 @@
   fleet.StartNode(0);
   fleet.RunFor(milliseconds(800));
   std::vector<std::shared_ptr<caller_exchange>> calls;
-  for (int i = 0; i < 60; ++i)
+  calls.reserve(60);
+  for (int i = 0; i < 60; ++i) {
     calls.push_back(fleet.Begin(0, "GET", "/read/1"));
+  }
   fleet.RunFor(milliseconds(1000));
   CHECK(fleet.upstreams[0]->probes >= 1);
   CHECK(fleet.Runs() >= 5);
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -15,7 +15,6 @@
 
 using nlohmann::json;
 using node::source_area;
-using node::source_item;
 using node::source_page;
 using node::source_problem;
 using std::chrono::milliseconds;
@@ -142,10 +141,10 @@
       {"/services/0/name", 1},
       {"/tenants/0/apiKeys", 5},
       {"/tenants/0/ratePerS", "many"}};
-  for (const auto& [pointer, value] : changes) {
-    CAPTURE(pointer);
+  for (const auto& each : changes) {
+    CAPTURE(each.first);
     json wrong = json::parse(kConfig);
-    wrong[json::json_pointer(pointer)] = value;
+    wrong[json::json_pointer(each.first)] = each.second;
     const auto meaning = Decode("op/config", wrong.dump());
     CHECK(std::holds_alternative<node::unreadable_item>(meaning));
   }
@@ -264,8 +263,8 @@
     CHECK(net.RunUntil([&done] { return done; }));
     return result;
   }
-  tl::expected<source_page, source_problem> Watch(std::uint64_t revision,
-                                                  std::function<void()> then) {
+  tl::expected<source_page, source_problem> Watch(
+      std::uint64_t revision, const std::function<void()>& then) {
     tl::expected<source_page, source_problem> result;
     bool done = false;
     reader->Watch(source_area::kUpstreams, revision, milliseconds(400),
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -20,7 +20,7 @@
       : front(net.loop, net.timers, {{"127.0.0.1", 0}, {}, {}, 65536}),
         pool(net.loop, net.timers, kPoolOptions) {
     front.on_request = [this](const std::shared_ptr<connection>& conn,
-                              message_head head) {
+                              const message_head& head) {
       requests.push_back(head);
       conn->on_data = [this](std::string_view bytes) { body.append(bytes); };
       conn->on_end = [this, conn] {
@@ -134,7 +134,9 @@
 TEST_CASE("an answer may come before the request's body is in") {
   stream_fixture f;
   f.front.on_request = [&f](const std::shared_ptr<connection>& conn,
-                            message_head) { f.Answer(conn, "early", 413); };
+                            const message_head&) {
+    f.Answer(conn, "early", 413);
+  };
   message_head head;
   head.method = "POST";
   head.target = "/";
@@ -153,7 +155,7 @@
   started->SendData("67890");
   started->SendEnd();
   f.front.on_request = [&f](const std::shared_ptr<connection>& conn,
-                            message_head next) {
+                            const message_head& next) {
     CHECK(next.target == "/next");
     conn->on_end = [&f, conn] { f.Answer(conn, "second"); };
   };
@@ -167,7 +169,7 @@
   std::shared_ptr<connection> sender;
   bool paused = false;
   f.front.on_request = [&](const std::shared_ptr<connection>& conn,
-                           message_head) {
+                           const message_head&) {
     conn->on_data = [&, conn](std::string_view bytes) {
       received += bytes.size();
       if (received <= 100000 || paused) return;
@@ -314,7 +316,7 @@
   stream_fixture f;
   bool gone = false;
   f.front.on_request = [&gone](const std::shared_ptr<connection>& conn,
-                               message_head) {
+                               const message_head&) {
     conn->on_closed = [&gone](end_reason) { gone = true; };
   };
   message_head head;
@@ -322,7 +324,7 @@
   head.target = "/";
   bool arrived = false;
   f.front.on_request = [&](const std::shared_ptr<connection>& conn,
-                           message_head) {
+                           const message_head&) {
     arrived = true;
     conn->on_closed = [&gone](end_reason) { gone = true; };
   };
