Nested calls count until their deadline, not their aim

The last upstream of licencias refused the 22 ms calls that litoral's calls made: their aim of 100 ms counted as missed behind running calls of 130 ms, so they went behind new ones; the work of their callers was lost. Change: for a nested call in time means within its deadline.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -517,7 +517,8 @@
 };
 
 // Orders the calls that wait for one upstream. Calls that can still be answered
-// within their aim go first: nested ones, then by rank, then the earliest aim.
+// in time (within their aim; nested ones, within their deadline) go first:
+// nested ones, then by rank, then the earliest.
 // Calls that can't are started only when no other waits. Every
 // `kTurnOfOldest`-th start goes to the call that has waited longest, so that no
 // rank starves.
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -33,7 +33,10 @@
 // many means must fit.
 constexpr double kAimMargin = 1.5;
 
+// A nested call that is refused fails the call that made it, whose work is then
+// lost: what counts for it is its deadline.
 bool IsInTime(const work_item& item, instant start) {
+  if (item.nested) return start + item.expected <= item.deadline;
   return start + Scale(item.expected, kAimMargin) <= item.aim_at;
 }
 
@@ -41,7 +44,8 @@
 auto OrderKey(const work_item& item, instant now) {
   const bool late = !IsInTime(item, now);
   return std::make_tuple(late, !item.nested, item.rank,
-                         late ? item.deadline : item.aim_at, item.id);
+                         late || item.nested ? item.deadline : item.aim_at,
+                         item.id);
 }
 
 }  // namespace
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -92,6 +92,7 @@
 load_pattern LeavingCallersPattern();
 load_pattern ColdZonePattern();
 load_pattern FullCalleePattern();
+load_pattern LastCalleePattern();
 load_pattern GreyMinorityPattern();
 std::vector<load_pattern> AllPatterns();
 
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -119,6 +119,16 @@
   return pattern;
 }
 
+load_pattern LastCalleePattern() {
+  load_pattern pattern =
+      Base("a callee's last upstream",
+           "nested calls are served while their own service is short");
+  pattern.upstreams[3].until_s = 5;
+  pattern.upstreams[4].until_s = 5;
+  pattern.upstreams[5].slowness = 1;
+  return pattern;
+}
+
 load_pattern GreyMinorityPattern() {
   load_pattern pattern =
       Base("a grey minority", "an upstream that fails calls gets few");
@@ -131,7 +141,7 @@
   return {CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
           BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
           RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
-          FullCalleePattern(), GreyMinorityPattern()};
+          FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -90,6 +90,15 @@
   CheckNobodyStarves(result);
 }
 
+// permisos incident inc-5f49: the last upstream of a service refused the short
+// calls of another service's calls, whose work was then lost.
+TEST_CASE("pattern: a callee's last upstream") {
+  const load_result result = Mean(LastCalleePattern());
+  CHECK(result.classes.at("peek").Served() >= 0.95);
+  CHECK(result.classes.at("read").Served() >= 0.9);
+  CheckNobodyStarves(result);
+}
+
 TEST_CASE("pattern: a grey minority") {
   const load_result result = Mean(GreyMinorityPattern());
   // Blind choice would send a third of two services' calls to an upstream that
