--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -245,8 +245,6 @@
   friend bool operator==(const peer_news& a, const peer_news& b);
 };
 
-// Largest datagram sent; fits one packet on usual links.
-inline constexpr std::size_t kMaxNewsBytes = 1400;
 std::string EncodeNews(const peer_news& news);
 // Rejects what `EncodeNews` can't have made. `address` is the sender's.
 tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes,
@@ -452,7 +450,6 @@
   void OnDone(const std::string& id, bool failed, instant now);
   // The daemon beside it refused: no call for a moment.
   void OnRefused(const std::string& id, duration pause, instant now);
-  void Forget(const std::string& id) { states_.erase(id); }
 
   // The index of the best candidate that isn't in `tried`, or none.
   // `typical` is the usual time of the call at an upstream of usual speed.
--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -138,12 +138,13 @@
   ~log_stream();
   log_stream(const log_stream&) = delete;
   log_stream& operator=(const log_stream&) = delete;
-  std::uint64_t Dropped() const;
 
  private:
   class impl;
   std::unique_ptr<impl> impl_;
 };
+// Lines that the present log_stream dropped; 0 without one.
+std::uint64_t DroppedLogLines();
 // Records below `level` are dropped. The default is kInfo.
 void SetLogLevel(core::log_level level);
 // The line that `Log` writes, without the line feed. Bytes that are not UTF-8
--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -113,7 +113,6 @@
   bool IsInMessage() const;
   // True if no byte waits that was received and not parsed.
   bool IsQuiet() const;
-  core::instant LastActive() const { return last_active_; }
   int Socket() const;
 
   std::function<void(message_head)> on_head;
@@ -133,7 +132,6 @@
   void Parse();
   void End(end_reason why);
 
-  net::event_loop& loop_;
   const side side_;
   bufferevent* stream_ = nullptr;
   std::unique_ptr<detail::parser> parser_;
@@ -141,17 +139,15 @@
   bool close_when_sent_ = false;
   bool reading_ = true;
   std::size_t sent_bytes_ = 0;
-  core::instant last_active_{};
 };
 
 struct server_options {
   net::endpoint listen;
   // A connection without a request for this long is closed; 0: never.
   core::duration idle{0};
-  // The longest time from a request's first byte to the end of its head.
+  // The longest time from a request's first byte to the end of its head. Heads
+  // of more than 80 KB, http-parser's limit, end the connection.
   core::duration head_time{0};
-  // Bytes of the head of a request; longer ones get 431.
-  std::size_t head_bytes = 64 * 1024;
 };
 
 // Accepts connections and hands out requests, one at a time on a connection.
@@ -184,6 +180,7 @@
     bool busy = false;         // A request was handed out and isn't done.
     bool close_after = false;  // Asked by the caller.
     core::instant idle_since{};
+    core::instant head_since{};  // A part of a head was seen; 0: none.
   };
   static void OnAccept(evconnlistener* listener, int socket, void* address,
                        int size, void* self);
@@ -276,7 +273,6 @@
   void DropIdle(const net::endpoint& target);
   // Ends all exchanges with `target` as lost or not sent.
   void FailAll(const net::endpoint& target);
-  std::size_t OpenConnections(const net::endpoint& target) const;
   std::uint64_t ConnectionsOpened() const { return opened_; }
 
  private:
--- a/src/net/log.cc
+++ b/src/net/log.cc
@@ -146,8 +146,6 @@
     current_buffer = nullptr;
   }
 
-  std::uint64_t Dropped() const { return buffer_.dropped_total; }
-
  private:
   void Flush() {
     if (buffer_.bytes.size() < buffer_.options.buffer_bytes) TellDropped();
@@ -177,6 +175,9 @@
                        log_stream_options options)
     : impl_(std::make_unique<impl>(loop, timers, options)) {}
 log_stream::~log_stream() = default;
-std::uint64_t log_stream::Dropped() const { return impl_->Dropped(); }
+
+std::uint64_t DroppedLogLines() {
+  return current_buffer == nullptr ? 0 : current_buffer->dropped_total;
+}
 
 }  // namespace pimentohall::net
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -73,7 +73,7 @@
 
 egress::egress(fleet_state& fleet)
     : fleet_(fleet),
-      server_(fleet.loop, fleet.timers, {fleet.settings.peers, {}, {}, 65536}),
+      server_(fleet.loop, fleet.timers, {fleet.settings.peers, {}, {}}),
       pool_(fleet.loop, fleet.timers,
             {kUpstreamIdle, kUpstreamSilence, kConnectTime,
              kConnectionsPerUpstream}),
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -117,8 +117,7 @@
 
 ingress::ingress(fleet_state& fleet)
     : fleet_(fleet),
-      server_(fleet.loop, fleet.timers,
-              {fleet.settings.callers, {}, {}, 65536}),
+      server_(fleet.loop, fleet.timers, {fleet.settings.callers, {}, {}}),
       pool_(fleet.loop, fleet.timers,
             {kLinkIdle, kLinkSilence, kLinkConnect, kLinksPerPeer}),
       questions_(fleet.loop, fleet.timers) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -415,6 +415,7 @@
     gauges.peers = fleet_.peers.CountHeard(now);
     gauges.running = egress_.Running();
     gauges.queued = egress_.Queued();
+    fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     return fleet_.metrics.Render(gauges);
   }
 
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -256,11 +256,6 @@
   }
 }
 
-std::size_t client_pool::OpenConnections(const net::endpoint& target) const {
-  const auto found = targets_.find(KeyOf(target));
-  return found == targets_.end() ? 0 : found->second.open;
-}
-
 void client_pool::Sweep() {
   const core::instant now = loop_.Now();
   for (auto it = targets_.begin(); it != targets_.end();) {
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -225,13 +225,11 @@
 }  // namespace detail
 
 connection::connection(net::event_loop& loop, side which, int socket)
-    : loop_(loop),
-      side_(which),
+    : side_(which),
       stream_(bufferevent_socket_new(
           loop.Base(), socket,
           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
-      parser_(std::make_unique<detail::parser>(this, which)),
-      last_active_(loop.Now()) {}
+      parser_(std::make_unique<detail::parser>(this, which)) {}
 
 connection::~connection() { Close(); }
 
@@ -286,7 +284,6 @@
   if (head.close) text.append("Connection: close\r\n");
   text.append("\r\n");
   bufferevent_write(stream_, text.data(), text.size());
-  last_active_ = loop_.Now();
 }
 
 void connection::SendData(std::string_view bytes) {
@@ -350,7 +347,6 @@
 void connection::NextMessage() {
   if (stream_ == nullptr) return;
   parser_->Resume();
-  last_active_ = loop_.Now();
   if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
     bufferevent_trigger(stream_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
   }
@@ -388,7 +384,6 @@
 
 void connection::OnRead(bufferevent*, void* self) {
   const auto alive = static_cast<connection*>(self)->shared_from_this();
-  alive->last_active_ = alive->loop_.Now();
   alive->Parse();
 }
 
--- a/src/stream/server.cc
+++ b/src/stream/server.cc
@@ -134,11 +134,23 @@
   for (slot* each : due) Retire(each);
 }
 
-// Closes connections that were idle, or read a head, for too long.
+// Closes connections that were idle, or have sent part of a head, for too long.
 void server::Sweep() {
   if (options_.idle.count() == 0) return;
   const core::instant now = loop_.Now();
-  RetireIf([&](const slot& at) { return now - at.idle_since > options_.idle; });
+  for (auto& [conn, at] : connections_) {
+    const bool in_head = !at->busy && conn->IsInMessage();
+    if (!in_head) {
+      at->head_since = core::instant{};
+    } else if (at->head_since == core::instant{}) {
+      at->head_since = now;
+    }
+  }
+  RetireIf([&](const slot& at) {
+    const bool slow_head = at.head_since != core::instant{} &&
+                           now - at.head_since > options_.head_time;
+    return slow_head || now - at.idle_since > options_.idle;
+  });
 }
 
 }  // namespace pimentohall::stream
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -22,7 +22,7 @@
 // An upstream that answers by a script and counts what it ran.
 struct upstream_standin {
   upstream_standin(net::net_harness& net, const std::string& address, int port)
-      : front(net.loop, net.timers, {{address, port}, {}, {}, 65536}) {
+      : front(net.loop, net.timers, {{address, port}, {}, {}}) {
     front.on_request = [this](const std::shared_ptr<stream::connection>& conn,
                               stream::message_head head) {
       Take(conn, std::move(head));
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -17,7 +17,7 @@
 // A server that hands requests to `answer`, and a pool that asks it.
 struct stream_fixture {
   stream_fixture()
-      : front(net.loop, net.timers, {{"127.0.0.1", 0}, {}, {}, 65536}),
+      : front(net.loop, net.timers, {{"127.0.0.1", 0}, {}, {}}),
         pool(net.loop, net.timers, kPoolOptions) {
     front.on_request = [this](const std::shared_ptr<connection>& conn,
                               const message_head& head) {
@@ -334,6 +334,18 @@
   CHECK(f.net.RunUntil([&gone] { return gone; }));
 }
 
+TEST_CASE("a head that never ends, and an idle connection, are closed") {
+  stream_fixture f;
+  f.front.SetTimes(std::chrono::seconds(60), milliseconds(500));
+  net::raw_stream slow(f.net, f.target.port);
+  slow.Write("GET / HTTP/1.1\r\nHost: a\r\nX-");
+  CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 1; }));
+  CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
+  CHECK(f.Get("/") == "hello");
+  f.front.SetTimes(milliseconds(500), milliseconds(500));
+  CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
+}
+
 TEST_CASE("a stopped server closes idle connections and finishes others") {
   stream_fixture f;
   CHECK(f.Get("/idle") == "hello");
