Three daemons read the source, the others follow them

Cause: every daemon watched the source and read each change itself. With news every 0.83 s one lost datagram made a daemon count as unreachable. Change: each daemon reads once when it starts, where it may lag; three watch on, the others fetch small items from a peer (near first) and read the settings at a reader's word. A daemon stands in when fewer than three before it tell that the source answers them. Silence is measured in periods of the sender's news; far news go half as often. A peer whose link broke gets no calls until its news.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -233,12 +233,15 @@
   std::uint32_t boot = 0;  // Random for each start of the daemon.
   std::uint64_t sequence = 0;
   std::uint64_t uptime_ms = 0;
+  // The receiver gets the next news after about this time.
+  duration period = std::chrono::milliseconds(300);
   bool stopping = false;
   std::uint64_t heard_sequence = 0;  // The last news from the receiver.
   std::uint32_t heard_boot = 0;
   // Revisions of the newest change known, by area of the source.
   std::uint64_t settings_revision = 0;
   std::uint64_t upstreams_revision = 0;
+  bool reads_source = false;  // Its own calls to the source are answered.
   std::optional<load_news> load;
   std::vector<tenant_count> admitted;
   std::vector<core::crash_report> crashes;
@@ -253,17 +256,22 @@
 // Which daemons are alive.
 class peer_table {
  public:
-  // Without news for this long a daemon counts as unreachable: three losses in
-  // a row at the usual period.
+  // Without news for this long a daemon counts as unreachable, if its news come
+  // often: three losses in a row at the shortest period.
   static constexpr duration kSilence = std::chrono::milliseconds(1000);
+  // The same in periods of the sender, for news that come less often: one may
+  // be lost.
+  static constexpr double kSilencePeriods = 2.4;
 
   struct peer {
     std::string address;
     std::uint32_t boot = 0;
     std::uint64_t sequence = 0;
     instant heard_at{};
-    instant echoed_at{};  // It had heard from us.
+    instant echoed_at{};          // It had heard from us.
+    duration silence = kSilence;  // Without news for longer it isn't heard.
     bool stopping = false;
+    bool reads_source = false;
     std::uint64_t settings_revision = 0;
     std::uint64_t upstreams_revision = 0;
     std::uint64_t uptime_ms = 0;
@@ -284,12 +292,21 @@
   // True for `count` of the daemons that hear each other, this one included:
   // each derives the same ones by itself, spread over the addresses.
   bool IsOneOf(std::size_t count, instant now) const;
+  // The same over these addresses, whoever is heard.
+  bool IsOneOf(std::size_t count,
+               const std::vector<std::string>& addresses) const;
+  // Daemons heard that read the source and come before this one in the order of
+  // `IsOneOf`.
+  std::size_t CountReadersBefore(instant now) const;
   const std::map<std::string, peer, std::less<>>& Peers() const {
     return peers_;
   }
   void Forget(instant now);
 
  private:
+  // Daemons heard before this one that `counts` accepts.
+  std::size_t CountBefore(bool (*counts)(const peer&), instant now) const;
+
   std::string own_address_;
   std::uint32_t own_boot_;
   std::map<std::string, peer, std::less<>> peers_;
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -137,6 +137,12 @@
   kUnreadable,   // The answer isn't in the source's format.
 };
 
+// How current a read must be.
+enum class read_quality {
+  kCurrent,
+  kMayLag,  // May be seconds old, and costs the source less.
+};
+
 // Calls to the source. Handlers are never called from inside the call.
 class source_reader {
  public:
@@ -145,7 +151,8 @@
   virtual ~source_reader() = default;
   // A page of the area's items, after the key `after`.
   virtual void ReadPage(source_area area, const std::string& after,
-                        duration timeout, handler done) = 0;
+                        read_quality quality, duration timeout,
+                        handler done) = 0;
   // Changes after `revision`; waits up to `wait` for one.
   virtual void Watch(source_area area, std::uint64_t revision, duration wait,
                      duration timeout, handler done) = 0;
--- a/src/mesh/news_codec.cc
+++ b/src/mesh/news_codec.cc
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kFields = 12;
+constexpr std::size_t kFields = 14;
 constexpr double kSlownessSteps = 100;
 constexpr std::size_t kMaxCounts = 1000;
 constexpr std::size_t kMaxCrashes = 64;
@@ -66,6 +66,8 @@
   for (const json& each : from.at(10)) {
     news.crashes.push_back(DecodeCrash(each));
   }
+  news.reads_source = from.at(11).get<bool>();
+  news.period = std::chrono::milliseconds(from.at(12).get<std::uint32_t>());
   return news;
 }
 
@@ -94,11 +96,14 @@
   for (const core::crash_report& each : news.crashes) {
     crashes.push_back(EncodeCrash(each));
   }
-  const json fields =
-      json::array({news.boot, news.sequence, news.uptime_ms, news.stopping,
-                   news.heard_sequence, news.heard_boot, news.settings_revision,
-                   news.upstreams_revision, EncodeLoad(news.load),
-                   std::move(counts), std::move(crashes), kFields});
+  const json fields = json::array(
+      {news.boot, news.sequence, news.uptime_ms, news.stopping,
+       news.heard_sequence, news.heard_boot, news.settings_revision,
+       news.upstreams_revision, EncodeLoad(news.load), std::move(counts),
+       std::move(crashes), news.reads_source,
+       std::chrono::duration_cast<std::chrono::milliseconds>(news.period)
+           .count(),
+       kFields});
   std::string bytes;
   json::to_cbor(fields, bytes);
   return bytes;
--- a/src/mesh/peer_table.cc
+++ b/src/mesh/peer_table.cc
@@ -9,6 +9,17 @@
 
 // A daemon that was silent for this long is forgotten.
 constexpr duration kMemory = std::chrono::minutes(1);
+// The longest period that a daemon may tell.
+constexpr duration kMaxPeriod = std::chrono::seconds(5);
+
+// The order in which daemons are chosen, the same for all.
+std::pair<std::uint32_t, std::string_view> Rank(std::string_view address) {
+  return {XXH32(address.data(), address.size(), 0), address};
+}
+
+bool IsFresh(const peer_table::peer& which, instant now) {
+  return now - which.heard_at <= which.silence;
+}
 
 }  // namespace
 
@@ -21,7 +32,7 @@
     what = change::kNewBoot;
   } else if (news.sequence <= known->second.sequence) {
     return change::kStale;
-  } else if (now - known->second.heard_at > kSilence) {
+  } else if (now - known->second.heard_at > known->second.silence) {
     what = change::kBack;
   }
   peer& at = peers_[news.address];
@@ -30,8 +41,12 @@
   at.boot = news.boot;
   at.sequence = news.sequence;
   at.heard_at = now;
+  at.silence = std::max(
+      kSilence, std::chrono::duration_cast<duration>(
+                    std::min(news.period, kMaxPeriod) * kSilencePeriods));
   if (news.heard_boot == own_boot_) at.echoed_at = now;
   at.stopping = news.stopping;
+  at.reads_source = news.reads_source;
   at.settings_revision = news.settings_revision;
   at.upstreams_revision = news.upstreams_revision;
   at.uptime_ms = news.uptime_ms;
@@ -41,14 +56,14 @@
 bool peer_table::IsReachable(std::string_view address, instant now) const {
   if (address == own_address_) return true;
   const auto found = peers_.find(address);
-  return found != peers_.end() && now - found->second.heard_at <= kSilence &&
-         now - found->second.echoed_at <= kSilence;
+  return found != peers_.end() && IsFresh(found->second, now) &&
+         now - found->second.echoed_at <= found->second.silence;
 }
 
 bool peer_table::IsHeard(std::string_view address, instant now) const {
   if (address == own_address_) return true;
   const auto found = peers_.find(address);
-  return found != peers_.end() && now - found->second.heard_at <= kSilence;
+  return found != peers_.end() && IsFresh(found->second, now);
 }
 
 const peer_table::peer* peer_table::Find(std::string_view address) const {
@@ -57,24 +72,38 @@
 }
 
 std::size_t peer_table::CountHeard(instant now) const {
+  return static_cast<std::size_t>(std::count_if(
+      peers_.begin(), peers_.end(),
+      [now](const auto& each) { return IsFresh(each.second, now); }));
+}
+
+std::size_t peer_table::CountBefore(bool (*counts)(const peer&),
+                                    instant now) const {
+  const auto own = Rank(own_address_);
   return static_cast<std::size_t>(
-      std::count_if(peers_.begin(), peers_.end(), [now](const auto& each) {
-        return now - each.second.heard_at <= kSilence;
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
+        return IsFresh(each.second, now) && counts(each.second) &&
+               Rank(each.first) < own;
       }));
 }
 
 bool peer_table::IsOneOf(std::size_t count, instant now) const {
-  const auto rank = [](std::string_view address) {
-    return std::make_pair(XXH32(address.data(), address.size(), 0), address);
-  };
-  const auto own = rank(own_address_);
-  const auto before =
-      std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
-        return now - each.second.heard_at <= kSilence && rank(each.first) < own;
-      });
+  return CountBefore([](const peer&) { return true; }, now) < count;
+}
+
+bool peer_table::IsOneOf(std::size_t count,
+                         const std::vector<std::string>& addresses) const {
+  const auto own = Rank(own_address_);
+  const auto before = std::count_if(
+      addresses.begin(), addresses.end(),
+      [&own](const std::string& each) { return Rank(each) < own; });
   return static_cast<std::size_t>(before) < count;
 }
 
+std::size_t peer_table::CountReadersBefore(instant now) const {
+  return CountBefore([](const peer& each) { return each.reads_source; }, now);
+}
+
 void peer_table::Forget(instant now) {
   for (auto it = peers_.begin(); it != peers_.end();) {
     it = now - it->second.heard_at > kMemory ? peers_.erase(it) : std::next(it);
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -38,7 +38,7 @@
 
 constexpr char kTextType[] = "text/plain";
 constexpr char kCborType[] = "application/cbor";
-constexpr char kMirrorPath[] = "/pimentohall/mirror";
+constexpr char kMirrorPath[] = "/pimentohall/mirror?";
 constexpr char kAttemptPath[] = "/pimentohall/attempt?id=";
 
 duration_ms Ms(duration of) {
@@ -269,8 +269,9 @@
 
 void egress::OnRequest(const std::shared_ptr<stream::connection>& conn,
                        stream::message_head head) {
-  if (head.target == kMirrorPath) {
-    Reply(conn, 200, kCborType, on_mirror_asked ? on_mirror_asked() : "");
+  if (head.target.rfind(kMirrorPath, 0) == 0) {
+    Reply(conn, 200, kCborType,
+          on_mirror_asked ? on_mirror_asked(head.target) : "");
     return;
   }
   if (head.target.rfind(kAttemptPath, 0) == 0) {
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -48,8 +48,9 @@
   std::vector<core::crash_report> CrashNews() const;
   void OnCrashNews(const core::crash_report& report);
 
-  // The answer to another daemon's question for the source's items.
-  std::function<std::string()> on_mirror_asked;
+  // The answer to another daemon's question for the source's items; gets the
+  // question's path and query.
+  std::function<std::string(const std::string& target)> on_mirror_asked;
 
  private:
   struct call;
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -42,7 +42,8 @@
   instant config_at{};
   mesh::route_splitter splitter;
   mesh::directory directory;
-  instant directory_at{};  // Last change.
+  instant directory_at{};                              // Last change.
+  std::map<std::string, std::string> zone_of_address;  // From the directory.
   mesh::peer_table peers;
   mesh::allotment_table allotments;
   mesh::retry_budget retries;
@@ -61,6 +62,12 @@
   // Share of the calls running at this VM's upstream that are repeats.
   double repeat_share = 0;
 
+  // The availability zone of the VM with this address; empty: not known.
+  std::string ZoneOf(const std::string& address) const {
+    const auto found = zone_of_address.find(address);
+    return found == zone_of_address.end() ? "" : found->second;
+  }
+
   // The address at which the daemon on this VM takes calls of others.
   net::endpoint PeerEndpoint(const std::string& address) const {
     return {address, settings.peers.port};
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -546,6 +546,11 @@
             {"peer", which->address},
             {"sent", why == stream::failure::kNotSent ? "no" : "yes"},
             {"after_ms", MsText(fleet_.loop.Now() - which->forwarded)}});
+  const auto* const peer = fleet_.peers.Find(which->address);
+  if (peer != nullptr && peer->heard_at < which->forwarded) {
+    // Its VM may be gone: no more calls until its next news are due.
+    fleet_.picker.OnRefused(which->upstream, peer->silence, fleet_.loop.Now());
+  }
   if (which->streams_answer) {
     // The caller has a part of the answer: it must see that it is cut.
     Finish(which, 0, "upstream", core::reason::kPeerLost);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,6 +8,7 @@
 #include "node/fleet_state.h"
 #include "node/ingress.h"
 #include "node/news_service.h"
+#include "node/peer_follower.h"
 #include "node/source_mirror.h"
 
 namespace pimentohall::node {
@@ -15,16 +16,15 @@
 
 using std::chrono::milliseconds;
 
-// News go to every other daemon this often, in a fleet of up to
-// kFastNewsPeers; beyond that the period grows so that a daemon sends about
-// the same number of datagrams a second.
-constexpr duration kNewsPeriod = milliseconds(300);
-constexpr std::size_t kFastNewsPeers = 25;
+// News go to the daemons of the own availability zone this often, and less
+// often to the others, as bytes between zones are dear. In fleets above these
+// sizes the periods grow, so that a daemon sends about the same number of
+// datagrams a second.
+constexpr duration kNearNewsPeriod = milliseconds(300);
+constexpr std::size_t kNearNewsFleet = 50;
+constexpr int kFarNewsPeriods = 2;  // In periods of near news.
+constexpr std::size_t kFarNewsFleet = 50;
 constexpr duration kUpkeepPeriod = milliseconds(100);
-// A peer that knows more is asked if the source hasn't told within this time.
-constexpr duration kMirrorPatience = milliseconds(250);
-constexpr duration kMirrorTimeout = milliseconds(800);
-constexpr std::int64_t kMaxMirrorBytes = 8 * 1024 * 1024;
 // A planned stop: callers see the missing readiness within this time, then the
 // daemon's upstream is handed over and the process ends.
 constexpr duration kLeaveTime = milliseconds(2300);
@@ -48,16 +48,22 @@
         egress_(fleet_),
         mirror_(fleet_, *adapter_.reader),
         news_(fleet_),
-        peer_reads_(loop, timers, 1, kMaxMirrorBytes),
+        follower_(fleet_, mirror_),
         ready_(loop, fleet_.settings.ready),
         admin_(loop, fleet_.settings.admin) {
     mirror_.on_item = [this](source_area area, const source_item& item,
                              duration lapse_grace) {
       OnItem(area, item, lapse_grace);
     };
-    mirror_.on_settled = [this](source_area) { OnSettled(); };
+    mirror_.on_settled = [this](source_area) {
+      OnSettled();
+      // Followers wait for a reader's word.
+      if (mirror_.IsReading()) Announce();
+    };
     news_.on_news = [this](mesh::peer_news news) { OnNews(std::move(news)); };
-    egress_.on_mirror_asked = [this] { return mirror_.Export(); };
+    egress_.on_mirror_asked = [this](const std::string& target) {
+      return follower_.Answer(target);
+    };
   }
 
   ~impl() {
@@ -210,6 +216,10 @@
     if (!directory_changed_) return;
     directory_changed_ = false;
     fleet_.directory.SetZonesOut(zones_out_);
+    fleet_.zone_of_address.clear();
+    for (const auto& [id, entry] : fleet_.directory.Entries()) {
+      fleet_.zone_of_address[entry.what.address] = entry.what.zone;
+    }
     fleet_.retries.SetFleet(fleet_.directory.Addresses().size());
     egress_.OnDirectory();
   }
@@ -217,9 +227,10 @@
   // -------------------------------------------------------------------------
   // Peers.
 
-  mesh::peer_news NewsFor(const mesh::peer_table::peer* to) {
+  mesh::peer_news NewsFor(const mesh::peer_table::peer* to, duration period) {
     const instant now = fleet_.loop.Now();
     mesh::peer_news news;
+    news.period = period;
     news.address = fleet_.settings.peers.address;
     news.boot = fleet_.boot;
     news.sequence = ++news_sequence_;
@@ -236,6 +247,7 @@
     }
     news.settings_revision = mirror_.ChangeRevision(source_area::kSettings);
     news.upstreams_revision = mirror_.ChangeRevision(source_area::kUpstreams);
+    news.reads_source = mirror_.IsReading();
     news.load = egress_.Load();
     news.admitted = fleet_.allotments.News(now);
     news.crashes = egress_.CrashNews();
@@ -254,25 +266,49 @@
     return {addresses.begin(), addresses.end()};
   }
 
+  // The period of news, in a fleet of up to `usual` daemons and in a larger
+  // one.
+  duration PeriodFor(duration period, std::size_t usual) const {
+    const std::size_t fleet = fleet_.directory.Addresses().size();
+    return fleet <= usual
+               ? period
+               : period * static_cast<int>(fleet) / static_cast<int>(usual);
+  }
+
   void ScheduleNews() {
-    const std::size_t peers = fleet_.directory.Addresses().size();
-    duration period = kNewsPeriod;
-    if (peers > kFastNewsPeers) {
-      period = kNewsPeriod * static_cast<int>(peers) /
-               static_cast<int>(kFastNewsPeers);
-    }
-    news_timer_ = fleet_.timers.After(period, sigc::slot<void()>([this] {
+    const duration near = PeriodFor(kNearNewsPeriod, kNearNewsFleet);
+    news_timer_ = fleet_.timers.After(near, sigc::slot<void()>([this] {
                                         SendNews();
                                         ScheduleNews();
                                       }));
   }
 
+  // Sends news to the near peers, and to the far ones whose turn it is.
   void SendNews() {
+    const instant now = fleet_.loop.Now();
+    const duration near = PeriodFor(kNearNewsPeriod, kNearNewsFleet);
+    // The others wait for a reader's word, and few daemons read.
+    const duration far =
+        mirror_.IsReading()
+            ? near
+            : PeriodFor(kNearNewsPeriod * kFarNewsPeriods, kFarNewsFleet);
+    // News that are nearly due go with the others.
+    const bool far_turn = now - far_news_at_ >= far - near / 2;
+    if (far_turn) far_news_at_ = now;
     for (const std::string& address : PeerAddresses()) {
-      news_.Send(address, NewsFor(fleet_.peers.Find(address)));
+      const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
+      if (!is_near && !far_turn) continue;
+      news_.Send(address,
+                 NewsFor(fleet_.peers.Find(address), is_near ? near : far));
     }
   }
 
+  // Tells all peers at once of a change.
+  void Announce() {
+    far_news_at_ = instant{};
+    SendNews();
+  }
+
   void OnNews(mesh::peer_news news) {
     if (news.address == fleet_.settings.peers.address) return;
     const instant now = fleet_.loop.Now();
@@ -294,45 +330,10 @@
     for (const core::crash_report& report : news.crashes) {
       egress_.OnCrashNews(report);
     }
-  }
-
-  // A peer that knows more than this daemon's own copy, or empty.
-  std::string FindAheadPeer(instant now) const {
-    for (const auto& [address, peer] : fleet_.peers.Peers()) {
-      if (now - peer.heard_at > mesh::peer_table::kSilence) continue;
-      const bool ahead = peer.settings_revision >
-                             mirror_.ChangeRevision(source_area::kSettings) ||
-                         peer.upstreams_revision >
-                             mirror_.ChangeRevision(source_area::kUpstreams);
-      if (ahead) return address;
-    }
-    return {};
-  }
-
-  void FollowPeers(instant now) {
-    const std::string ahead = FindAheadPeer(now);
-    if (ahead.empty()) {
-      behind_since_.reset();
-      return;
-    }
-    if (!behind_since_) behind_since_ = now;
-    if (now - *behind_since_ < kMirrorPatience || reading_peer_) return;
-    for (const source_area area : kSourceAreas) mirror_.Nudge(area);
-    reading_peer_ = true;
-    net::http_request request;
-    request.target = fleet_.PeerEndpoint(ahead);
-    request.path = "/pimentohall/mirror";
-    request.timeout = kMirrorTimeout;
-    peer_reads_.Start(
-        request,
-        [this](
-            const tl::expected<net::http_answer, net::http_failure>& answer) {
-          reading_peer_ = false;
-          behind_since_.reset();
-          if (answer && answer->status == 200 && answer->body) {
-            mirror_.Import(*answer->body);
-          }
-        });
+    const bool is_ahead =
+        news.settings_revision > mirror_.Revision(source_area::kSettings) ||
+        news.upstreams_revision > mirror_.Revision(source_area::kUpstreams);
+    if (is_ahead) follower_.Check();
   }
 
   // -------------------------------------------------------------------------
@@ -345,7 +346,7 @@
       OnSettled();
     }
     for (const auto& [address, peer] : fleet_.peers.Peers()) {
-      const bool lost = now - peer.heard_at > mesh::peer_table::kSilence;
+      const bool lost = !fleet_.peers.IsHeard(address, now);
       if (lost && lost_peers_.insert(address).second) {
         net::Log(
             core::log_level::kWarning, "peer lost",
@@ -355,7 +356,8 @@
     fleet_.peers.Forget(now);
     const std::size_t fleet = fleet_.directory.Addresses().size();
     fleet_.allotments.SetFleet(fleet, fleet_.peers.CountHeard(now) + 1, now);
-    FollowPeers(now);
+    mirror_.Upkeep();
+    follower_.Check();
   }
 
   bool IsReady() const { return fleet_.config != nullptr && !fleet_.stopping; }
@@ -368,7 +370,7 @@
       handed_over_at_ = now;
       egress_.BeginStop();
       ingress_.StopListening();
-      SendNews();
+      Announce();
     }
     // An open connection may hold a request that was received and not seen yet.
     const bool idle = handing_over_ && ingress_.Pending() == 0 &&
@@ -427,6 +429,7 @@
     state["boot"] = fleet_.boot;
     state["ready"] = IsReady();
     state["config_version"] = fleet_.config ? fleet_.config->Version() : 0;
+    state["reads_source"] = mirror_.IsReading();
     state["zones_out"] = zones_out_;
     for (const auto& [id, entry] : fleet_.directory.Entries()) {
       state["upstreams"][id] = {
@@ -459,9 +462,8 @@
   std::set<std::string> zones_out_;
   bool directory_changed_ = false;
   std::uint64_t news_sequence_ = 0;
+  instant far_news_at_{};
   std::set<std::string> lost_peers_;
-  std::optional<instant> behind_since_;
-  bool reading_peer_ = false;
   instant stop_began_{};
   instant handed_over_at_{};
   bool handing_over_ = false;  // Other daemons send no more calls here.
@@ -474,7 +476,7 @@
   egress egress_;
   source_mirror mirror_;
   news_service news_;
-  net::http_client peer_reads_;
+  peer_follower follower_;
   net::admin_server ready_;
   net::admin_server admin_;
 };
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -9,24 +9,42 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// Daemons that watch the source: one may be cut off from it while another
+// dies.
+constexpr std::size_t kReaders = 3;
 // How long a watch waits at the source. One that the source lost is found only
-// when its time is over, so kScouts daemons ask often, and the others learn
-// from them that they have missed something.
-constexpr duration kScoutWait = milliseconds(1500);
-constexpr duration kWatchWait = milliseconds(10000);
-constexpr std::size_t kScouts = 3;
+// when its time is over; the first reader finds that soonest.
+constexpr duration kWatchWait = milliseconds(1500);
+constexpr duration kBackupWait = milliseconds(3000);
+// A daemon that started decides on its role when it has heard the others.
+constexpr duration kRoleDelay = milliseconds(1500);
+constexpr duration kRoleCheck = milliseconds(50);
+// Readers that lost the source are replaced after this time: longer than a
+// daemon's news take to tell that it began to read.
+constexpr duration kTakeOverTime = milliseconds(1000);
 // The source answers within a few milliseconds; a slow one takes up to some
 // hundreds.
 constexpr duration kReadTimeout = milliseconds(1500);
 constexpr duration kWatchMargin = milliseconds(800);
+// An answer is late after this time beyond its wait; then others take over.
+constexpr duration kLateAnswer = milliseconds(400);
 // Wait after an answer with changes, so that changes in quick succession come
-// in one answer.
+// in one answer. The first reader waits least; the others back it up, and
+// mostly learn from it in the meantime.
 constexpr duration kBatchTime = milliseconds(250);
+constexpr duration kBatchStep = milliseconds(600);
 // First wait after a failed call; doubled with each failure in a row.
 constexpr duration kFirstRetry = milliseconds(100);
 constexpr duration kLongestRetry = milliseconds(800);
-// A call that was made this lately is not stuck.
-constexpr duration kNudgeAge = milliseconds(150);
+// The same for a daemon that only stands in for readers that lost the source.
+constexpr duration kStandInRetry = milliseconds(2400);
+// Reads at a peer's word come this far apart: with the way of the news and the
+// read itself, a change is in force within the least time that is allowed, 2 s.
+constexpr duration kNudgeAge = milliseconds(900);
+// A call that failed tells nothing of the source after this time.
+constexpr duration kFaultMemory = milliseconds(3000);
+// Removals that are remembered for peers; a rolling release makes some tens.
+constexpr std::size_t kMaxRemovals = 400;
 // Items that lapsed while the source was away are back within this time after
 // its return; the platform's stated time.
 constexpr duration kReturnTime = milliseconds(2000);
@@ -61,15 +79,61 @@
 }
 
 void source_mirror::Start() {
-  for (area_state& at : areas_) Read(&at, "");
+  for (area_state& at : areas_) Read(&at, "", read_quality::kMayLag);
 }
 
-std::uint64_t source_mirror::ChangeRevision(source_area area) const {
-  return At(area).change_revision;
+bool source_mirror::CanRead(source_area area) const {
+  const area_state& at = At(area);
+  if (!at.whole) return false;
+  return at.failures == 0 || fleet_.loop.Now() - at.asked_at >= kFaultMemory;
 }
 
-bool source_mirror::IsConnected(source_area area) const {
-  return At(area).connected;
+// ---------------------------------------------------------------------------
+// The role.
+
+bool source_mirror::IsReading() const {
+  const instant now = fleet_.loop.Now();
+  return std::all_of(std::begin(areas_), std::end(areas_),
+                     [now](const area_state& at) {
+                       return at.whole && !at.following && at.connected &&
+                              at.failures == 0 && now <= at.answer_due;
+                     });
+}
+
+bool source_mirror::ShouldRead(instant now) const {
+  if (fleet_.peers.IsOneOf(kReaders, now)) return true;
+  return few_readers_since_ && now - *few_readers_since_ >= kTakeOverTime;
+}
+
+void source_mirror::SetFollowing(area_state* at, bool following) {
+  if (at->following == following) return;
+  at->following = following;
+  at->reading = false;
+  at->watching = false;
+  ++at->generation;
+  at->retry_timer.disconnect();
+  const instant now = fleet_.loop.Now();
+  net::Log(core::log_level::kInfo,
+           following ? "follows the readers" : "reads the source",
+           {{"area", AreaName(at->area)},
+            {"revision", std::to_string(at->revision)},
+            {"heard", std::to_string(fleet_.peers.CountHeard(now))},
+            {"readers_before",
+             std::to_string(fleet_.peers.CountReadersBefore(now))}});
+}
+
+void source_mirror::Upkeep() {
+  const instant now = fleet_.loop.Now();
+  if (fleet_.peers.CountReadersBefore(now) >= kReaders) {
+    few_readers_since_.reset();
+  } else if (!few_readers_since_) {
+    few_readers_since_ = now;
+  }
+  for (area_state& at : areas_) {
+    if (!at.following || !ShouldRead(now)) continue;
+    SetFollowing(&at, false);
+    Watch(&at);
+  }
 }
 
 duration source_mirror::LapseGrace(const area_state& at) const {
@@ -81,17 +145,23 @@
 // ---------------------------------------------------------------------------
 // Reading.
 
-void source_mirror::Read(area_state* at, const std::string& after) {
+void source_mirror::Read(area_state* at, const std::string& after,
+                         read_quality quality) {
   if (after.empty()) {
     at->read_items.clear();
     at->read_revision = 0;
+    at->quality = quality;
   }
   at->asked_at = fleet_.loop.Now();
+  at->answer_due = at->asked_at + kLateAnswer;
+  at->reading = true;
+  at->watching = false;
   const std::uint64_t generation = ++at->generation;
   reader_.ReadPage(
-      at->area, after, kReadTimeout,
+      at->area, after, at->quality, kReadTimeout,
       [this, at, generation](tl::expected<source_page, source_problem> page) {
         if (generation != at->generation) return;
+        at->reading = false;
         if (!page) {
           OnProblem(at, page.error());
         } else {
@@ -109,24 +179,53 @@
     at->read_items[item.key] = std::move(item);
   }
   if (page.more && !last.empty()) {
-    Read(at, last);
+    Read(at, last, at->quality);
     return;
   }
+  // A page that may lag doesn't tell up to which revision it is complete.
+  if (at->quality == read_quality::kMayLag) {
+    at->read_revision = 0;
+    for (const auto& [key, item] : at->read_items) {
+      at->read_revision = std::max(at->read_revision, item.revision);
+    }
+  }
   Replace(at, at->read_items, at->read_revision, LapseGrace(*at));
   at->read_items.clear();
-  Watch(at);
+  WatchInTime(at);
+}
+
+// Watches at once, but for a daemon that has just started and that others, if
+// they live, make needless as a reader.
+void source_mirror::WatchInTime(area_state* at) {
+  const instant decided_at = fleet_.started_at + kRoleDelay;
+  const std::vector<std::string> listed = fleet_.directory.Addresses();
+  const bool is_needed =
+      !listed.empty() && fleet_.peers.IsOneOf(kReaders, listed);
+  if (fleet_.loop.Now() >= decided_at || is_needed) {
+    Watch(at);
+    return;
+  }
+  at->answer_due = decided_at;
+  at->retry_timer.disconnect();
+  at->retry_timer = fleet_.timers.After(
+      kRoleCheck, sigc::slot<void()>([this, at] { WatchInTime(at); }));
 }
 
 void source_mirror::Watch(area_state* at) {
   const instant now = fleet_.loop.Now();
+  SetFollowing(at, !ShouldRead(now));
+  if (at->following) return;
+  const bool is_first = fleet_.peers.CountReadersBefore(now) == 0;
+  const duration wait = is_first ? kWatchWait : kBackupWait;
   at->asked_at = now;
+  at->answer_due = now + wait + kLateAnswer;
+  at->watching = true;
   const std::uint64_t generation = ++at->generation;
-  const duration wait =
-      fleet_.peers.IsOneOf(kScouts, now) ? kScoutWait : kWatchWait;
   reader_.Watch(
       at->area, at->revision, wait, wait + kWatchMargin,
       [this, at, generation](tl::expected<source_page, source_problem> page) {
         if (generation != at->generation) return;
+        at->watching = false;
         if (!page) {
           OnProblem(at, page.error());
         } else {
@@ -152,10 +251,14 @@
     Watch(at);
     return;
   }
+  const auto before = static_cast<int>(
+      std::min(kReaders, fleet_.peers.CountReadersBefore(fleet_.loop.Now())));
+  const duration pause = kBatchTime + kBatchStep * before;
   ++at->generation;
+  at->answer_due = fleet_.loop.Now() + pause + kLateAnswer;
   at->retry_timer.disconnect();
-  at->retry_timer = fleet_.timers.After(
-      kBatchTime, sigc::slot<void()>([this, at] { Watch(at); }));
+  at->retry_timer =
+      fleet_.timers.After(pause, sigc::slot<void()>([this, at] { Watch(at); }));
 }
 
 void source_mirror::OnAnswered(area_state* at) {
@@ -182,7 +285,7 @@
     net::Log(core::log_level::kInfo, "source dropped its history",
              {{"area", AreaName(at->area)},
               {"revision", std::to_string(at->revision)}});
-    Read(at, "");
+    ReadAgain(at);
     return;
   }
   ++at->failures;
@@ -200,17 +303,23 @@
               {"revision", std::to_string(at->revision)}});
   }
   const int doublings = std::clamp(at->failures - 1, 0, 3);
-  const duration wait = std::min(kLongestRetry, kFirstRetry * (1 << doublings));
+  duration wait = std::min(kLongestRetry, kFirstRetry * (1 << doublings));
+  const bool is_primary = fleet_.peers.IsOneOf(kReaders, now);
+  if (is_lost && at->whole && !is_primary) wait = kStandInRetry;
   at->retry_timer.disconnect();
   at->retry_timer = fleet_.timers.After(
-      wait, sigc::slot<void()>([this, at] { Read(at, ""); }));
+      wait, sigc::slot<void()>([this, at] {
+        const bool is_needed = !at->whole || ShouldRead(fleet_.loop.Now());
+        SetFollowing(at, !is_needed);
+        if (is_needed) ReadAgain(at);
+      }));
 }
 
 void source_mirror::Nudge(source_area area) {
   area_state& at = At(area);
-  if (fleet_.loop.Now() - at.asked_at < kNudgeAge) return;
+  if (at.reading || fleet_.loop.Now() - at.asked_at < kNudgeAge) return;
   at.retry_timer.disconnect();
-  Read(&at, "");
+  ReadAgain(&at);
 }
 
 // ---------------------------------------------------------------------------
@@ -230,6 +339,7 @@
                            std::uint64_t revision, duration lapse_grace) {
   const auto found = at->items.find(key);
   at->change_revision = std::max(at->change_revision, revision);
+  NoteRemoval(at, key, revision);
   if (found == at->items.end()) return;
   if (revision != 0 && found->second.revision > revision) return;
   source_item gone = std::move(found->second);
@@ -247,8 +357,12 @@
   for (const auto& [key, held] : at->items) {
     if (items.count(key) == 0) missing.push_back(key);
   }
-  for (const std::string& key : missing) Remove(at, key, 0, lapse_grace);
+  for (const std::string& key : missing) {
+    Remove(at, key, 0, lapse_grace);
+    NoteRemoval(at, key, revision);
+  }
   for (const auto& [key, item] : items) Apply(at, item);
+  if (!at->whole) at->removals_since = revision;
   // Removals that only the read shows are as new as the read itself.
   if (!missing.empty()) at->change_revision = revision;
   at->revision = revision;
@@ -256,54 +370,91 @@
   if (on_settled) on_settled(at->area);
 }
 
+// Remembers a removal for peers; the oldest are forgotten.
+void source_mirror::NoteRemoval(area_state* at, const std::string& key,
+                                std::uint64_t revision) {
+  if (revision == 0) return;
+  std::uint64_t& held = at->removals[key];
+  held = std::max(held, revision);
+  if (at->removals.size() <= kMaxRemovals) return;
+  const auto oldest = std::min_element(
+      at->removals.begin(), at->removals.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  at->removals_since = std::max(at->removals_since, oldest->second);
+  at->removals.erase(oldest);
+}
+
 // ---------------------------------------------------------------------------
-// Passing on between daemons: CBOR, one array an area.
-
-std::string source_mirror::Export() const {
-  json areas = json::array();
-  for (const area_state& at : areas_) {
-    json items = json::array();
-    if (at.whole) {
-      for (const auto& [key, item] : at.items) {
-        items.push_back(json::array({key, item.value, item.revision}));
-      }
-    }
-    areas.push_back(json::array({at.whole, at.revision, at.change_revision,
-                                 std::move(items), LapseGrace(at).count()}));
+// Passing on between daemons, as a CBOR array: the area, whether the items are
+// all of it, its revisions, the items, the removals, and the time in which
+// lapsed items may come back.
+
+std::string source_mirror::Export(source_area area, std::uint64_t since) const {
+  const area_state& at = At(area);
+  const bool is_full = since < at.removals_since || since == 0;
+  json items = json::array();
+  json removals = json::array();
+  for (const auto& [key, item] : at.items) {
+    if (!is_full && item.revision <= since) continue;
+    items.push_back(json::array({key, item.value, item.revision}));
+  }
+  for (const auto& [key, revision] : at.removals) {
+    if (is_full || revision <= since || at.items.count(key) != 0) continue;
+    removals.push_back(json::array({key, revision}));
   }
+  const json message =
+      json::array({static_cast<int>(area), is_full, at.whole ? at.revision : 0,
+                   at.change_revision, std::move(items), std::move(removals),
+                   LapseGrace(at).count()});
   std::string bytes;
-  json::to_cbor(areas, bytes);
+  json::to_cbor(message, bytes);
   return bytes;
 }
 
-void source_mirror::Import(std::string_view bytes) {
+bool source_mirror::Import(std::string_view bytes) {
   try {
-    const json areas = json::from_cbor(bytes.begin(), bytes.end());
-    for (area_state& at : areas_) {
-      const json& from = areas.at(static_cast<std::size_t>(at.area));
-      if (!from.at(0).get<bool>()) continue;
-      const auto revision = from.at(1).get<std::uint64_t>();
-      const auto change = from.at(2).get<std::uint64_t>();
-      if (at.whole && change <= at.change_revision) continue;
-      std::map<std::string, source_item> items;
-      for (const json& each : from.at(3)) {
-        source_item item;
-        item.key = each.at(0).get<std::string>();
-        item.value = each.at(1).get<std::string>();
-        item.revision = each.at(2).get<std::uint64_t>();
-        items[item.key] = std::move(item);
+    const json from = json::from_cbor(bytes.begin(), bytes.end());
+    const int area = from.at(0).get<int>();
+    if (area != 0 && area != 1) return false;
+    area_state& at = areas_[area];
+    const bool is_full = from.at(1).get<bool>();
+    const auto revision = from.at(2).get<std::uint64_t>();
+    const auto change = from.at(3).get<std::uint64_t>();
+    // A part builds on what this daemon has told that it holds.
+    if (revision <= at.revision && at.whole) return true;
+    if (revision == 0 || (!is_full && !at.whole)) return true;
+    std::map<std::string, source_item> items;
+    for (const json& each : from.at(4)) {
+      source_item item;
+      item.key = each.at(0).get<std::string>();
+      item.value = each.at(1).get<std::string>();
+      item.revision = each.at(2).get<std::uint64_t>();
+      items[item.key] = std::move(item);
+    }
+    const duration grace{from.at(6).get<duration::rep>()};
+    net::Log(core::log_level::kInfo, "took items over from a peer",
+             {{"area", AreaName(at.area)},
+              {"revision", std::to_string(revision)},
+              {"own_revision", std::to_string(at.revision)},
+              {"items", std::to_string(items.size())},
+              {"removals", std::to_string(from.at(5).size())}});
+    if (is_full) {
+      Replace(&at, items, revision, grace);
+    } else {
+      for (const json& each : from.at(5)) {
+        Remove(&at, each.at(0).get<std::string>(),
+               each.at(1).get<std::uint64_t>(), grace);
       }
-      net::Log(core::log_level::kInfo, "took items over from a peer",
-               {{"area", AreaName(at.area)},
-                {"revision", std::to_string(revision)},
-                {"own_revision", std::to_string(at.revision)}});
-      const duration grace{from.at(4).get<duration::rep>()};
-      Replace(&at, items, std::max(revision, at.revision), grace);
-      at.change_revision = std::max(at.change_revision, change);
+      for (const auto& [key, item] : items) Apply(&at, item);
+      at.revision = revision;
+      if (on_settled) on_settled(at.area);
     }
+    at.change_revision = std::max(at.change_revision, change);
+    return true;
   } catch (const json::exception& problem) {
     net::Log(core::log_level::kWarning, "items of a peer are unreadable",
              {{"problem", problem.what()}});
+    return false;
   }
 }
 
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -1,7 +1,14 @@
 #ifndef PIMENTOHALL_NODE_SOURCE_MIRROR_H_
 #define PIMENTOHALL_NODE_SOURCE_MIRROR_H_
 
-// A copy of the source's items, kept current by a read and then watches.
+// A copy of the source's items, kept current by a read and then by watches or
+// by what peers pass on.
+//
+// Every daemon reads the source once when it starts. After that a few readers
+// watch it, and the others follow them: calls to the source then don't grow
+// with the fleet. Each daemon derives by itself whether it is a reader. It
+// becomes one too when too few of those before it tell that the source answers
+// them.
 //
 // Invariant: an area's items never go back. A page or event older than what is
 // held for its key is dropped, and a whole copy (a read, or a peer's) replaces
@@ -29,19 +36,31 @@
   ~source_mirror();
 
   void Start();
+  // Takes up or ends the watches as this daemon's role changes; call often.
+  void Upkeep();
   // The newest revision of a change that this area's copy contains.
-  std::uint64_t ChangeRevision(source_area area) const;
-  // The source answered this area's last call.
-  bool IsConnected(source_area area) const;
+  std::uint64_t ChangeRevision(source_area area) const {
+    return At(area).change_revision;
+  }
+  // The copy contains all changes up to this revision.
+  std::uint64_t Revision(source_area area) const { return At(area).revision; }
+  // This daemon watches all areas, and the source answers in time.
+  bool IsReading() const;
+  // A watch is open that will tell of the next change.
+  bool IsWatching(source_area area) const { return At(area).watching; }
+  // A read is likely to succeed.
+  bool CanRead(source_area area) const;
   // When the source last answered, for any area.
   instant AnsweredAt() const { return answered_at_; }
-  // Reads anew if a peer knows more and the own watch may be stuck.
+  // Reads the area anew, unless that was done just now.
   void Nudge(source_area area);
 
-  // The items of all areas, for a peer.
-  std::string Export() const;
-  // Takes a peer's items over where they are newer.
-  void Import(std::string_view bytes);
+  // The items of an area that changed after `since`, as CBOR, for a peer: all
+  // of them if that isn't known any more.
+  std::string Export(source_area area, std::uint64_t since) const;
+  // Takes a peer's items over where they are newer. False if they are
+  // unreadable.
+  bool Import(std::string_view bytes);
 
   // An item changed or was removed. `lapse_grace`: the source was away lately,
   // and a missing item may come back within this time; 0 otherwise.
@@ -57,6 +76,12 @@
     std::uint64_t revision = 0;         // Everything up to it is contained.
     std::uint64_t change_revision = 0;  // Of the newest change contained.
     bool whole = false;                 // A read was completed.
+    bool following = false;             // Peers tell of changes.
+    // Removals by key, with their revisions; all after `removals_since`.
+    std::map<std::string, std::uint64_t> removals;
+    std::uint64_t removals_since = 0;
+    bool reading = false;   // A read is in flight.
+    bool watching = false;  // A watch is in flight.
     bool connected = false;
     bool told_lost = false;
     instant lost_at{};
@@ -64,7 +89,9 @@
     int failures = 0;
     std::uint64_t generation = 0;  // Answers to older calls are dropped.
     instant asked_at{};
+    instant answer_due{};  // A call in flight that is late is a fault.
     // While a read goes on.
+    read_quality quality = read_quality::kCurrent;
     std::map<std::string, source_item> read_items;
     std::uint64_t read_revision = 0;
     sigc::connection retry_timer;
@@ -76,8 +103,13 @@
   const area_state& At(source_area area) const {
     return areas_[static_cast<std::size_t>(area)];
   }
-  void Read(area_state* at, const std::string& after);
+  // Whether this daemon is to watch the source now.
+  bool ShouldRead(instant now) const;
+  void SetFollowing(area_state* at, bool following);
+  void Read(area_state* at, const std::string& after, read_quality quality);
+  void ReadAgain(area_state* at) { Read(at, "", read_quality::kCurrent); }
   void OnPage(area_state* at, source_page page);
+  void WatchInTime(area_state* at);
   void Watch(area_state* at);
   void OnEvents(area_state* at, const source_page& page);
   void OnProblem(area_state* at, source_problem problem);
@@ -86,6 +118,8 @@
   void Replace(area_state* at, const std::map<std::string, source_item>& items,
                std::uint64_t revision, duration lapse_grace);
   bool Apply(area_state* at, const source_item& item);
+  void NoteRemoval(area_state* at, const std::string& key,
+                   std::uint64_t revision);
   void Remove(area_state* at, const std::string& key, std::uint64_t revision,
               duration lapse_grace);
   // What is left of the time in which lapsed items come back.
@@ -95,6 +129,8 @@
   source_reader& reader_;
   area_state areas_[2];
   instant answered_at_{};
+  // Since when too few readers come before this daemon; none: enough do.
+  std::optional<instant> few_readers_since_;
 };
 
 }  // namespace pimentohall::node
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -16,8 +16,7 @@
 using core::instant;
 
 constexpr instant kStart{std::chrono::seconds(1000)};
-constexpr int kDaemons = 12;
-constexpr double kNewsPeriodS = 0.3;
+constexpr int kZones = 3;
 constexpr double kLinkMs = 1;
 constexpr int kMaxRefusals = 4;
 constexpr double kWindowS = 2;
@@ -49,7 +48,7 @@
       }
       upstreams_.push_back(std::move(at));
     }
-    for (int i = 0; i < kDaemons; ++i) {
+    for (int i = 0; i < pattern.daemons; ++i) {
       pickers_.emplace_back(seed * 100 + static_cast<std::uint64_t>(i) + 1);
     }
   }
@@ -58,7 +57,7 @@
     for (const load_class& each : pattern_.classes) {
       if (each.per_s > 0) ScheduleArrival(&each);
     }
-    At(kNewsPeriodS * 1000, [this] { SendNews(); });
+    ScheduleNews();
     const instant end = kStart + Ms(pattern_.length_s * 1000) + Ms(10000);
     while (!events_.empty() && events_.top().at <= end) {
       event next = events_.top();
@@ -159,7 +158,7 @@
   }
 
   void Attempt(const call_ptr& which) {
-    which->daemon = static_cast<int>(Uniform() * kDaemons);
+    which->daemon = static_cast<int>(Uniform() * pattern_.daemons);
     const duration limit = which->nested ? Ms(which->kind->budget_ms)
                                          : Ms(which->kind->timeout_ms);
     which->deadline = std::min(which->budget_end, now_ + limit);
@@ -246,13 +245,29 @@
     return load;
   }
 
-  void SendNews() {
-    for (const auto& at : upstreams_) {
-      for (auto& picker : pickers_) picker.OnNews(LoadOf(*at), now_);
+  static bool IsNear(std::size_t upstream, std::size_t daemon) {
+    return upstream % kZones == daemon % kZones;
+  }
+
+  // Each daemon sends at a time of its own within the period.
+  void ScheduleNews() {
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+      for (const bool near : {true, false}) {
+        const double period = near ? pattern_.near_news_s : pattern_.far_news_s;
+        At(Uniform() * period * 1000,
+           [this, i, near, period] { SendNews(i, near, period); });
+      }
     }
-    if (AtS() < pattern_.length_s) {
-      At(kNewsPeriodS * 1000, [this] { SendNews(); });
+  }
+
+  void SendNews(std::size_t from, bool near, double period_s) {
+    const mesh::load_news load = LoadOf(*upstreams_[from]);
+    for (std::size_t i = 0; i < pickers_.size(); ++i) {
+      if (IsNear(from, i) == near) pickers_[i].OnNews(load, now_);
     }
+    if (AtS() > pattern_.length_s) return;
+    At(period_s * 1000,
+       [this, from, near, period_s] { SendNews(from, near, period_s); });
   }
 
   void TryNext(const call_ptr& which) {
@@ -262,7 +277,7 @@
     for (std::size_t i = 0; i < upstreams_.size(); ++i) {
       upstream* const at = upstreams_[i].get();
       if (at->what->service != which->kind->service || !IsUp(*at)) continue;
-      const bool near = static_cast<int>(i % 3) == which->daemon % 3;
+      const bool near = IsNear(i, static_cast<std::size_t>(which->daemon));
       candidates.push_back(
           {at->id, at->what->slots, near, at->gate.IsCold(now_)});
       targets.push_back(at);
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -57,8 +57,11 @@
   // Factor of a class's rate at a time.
   std::function<double(const load_class&, double at_s)> rate =
       [](const load_class&, double) { return 1.0; };
-  double leave_share = 0;   // Callers that leave at half their aim.
-  double ignore_share = 0;  // Callers that come back at once, and more often.
+  int daemons = 12;
+  double near_news_s = 0.3;  // Period of news within a zone,
+  double far_news_s = 0.6;   // and between zones.
+  double leave_share = 0;    // Callers that leave at half their aim.
+  double ignore_share = 0;   // Callers that come back at once, and more often.
   double length_s = 30;
 };
 
@@ -94,6 +97,7 @@
 load_pattern FullCalleePattern();
 load_pattern LastCalleePattern();
 load_pattern GreyMinorityPattern();
+load_pattern WideFleetPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -137,11 +137,31 @@
   return pattern;
 }
 
+// The grown deployment: as much load for each upstream, six times as many of
+// them, and news that are older.
+load_pattern WideFleetPattern() {
+  load_pattern pattern =
+      Base("a wide fleet",
+           "work spreads although news are older than calls are apart");
+  constexpr int kTimes = 6;
+  const std::vector<load_upstream> few = pattern.upstreams;
+  pattern.upstreams.clear();
+  for (const load_upstream& each : few) {
+    pattern.upstreams.insert(pattern.upstreams.end(), kTimes, each);
+  }
+  for (load_class& each : pattern.classes) each.per_s *= kTimes;
+  pattern.daemons = 69;
+  pattern.near_news_s = 0.414;
+  pattern.far_news_s = 0.828;
+  return pattern;
+}
+
 std::vector<load_pattern> AllPatterns() {
   return {CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
           BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
           RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
-          FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern()};
+          FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern(),
+          WideFleetPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/store_standin/store.cc
+++ b/testing/store_standin/store.cc
@@ -106,7 +106,7 @@
   const std::string prefix = Value(query, "prefix");
   const std::string after = Value(query, "after");
   if (path == "/api/kv-range") {
-    ServeRange(request, prefix, after);
+    ServeRange(request, prefix, after, Value(query, "allowStale") == "1");
   } else if (path == "/api/kv-watch") {
     ServeWatch(request, prefix, std::stoull("0" + after),
                std::stoi("0" + Value(query, "waitMs")));
@@ -117,10 +117,11 @@
 
 void store_standin::ServeRange(evhttp_request* request,
                                const std::string& prefix,
-                               const std::string& after) {
+                               const std::string& after, bool may_lag) {
   json items = json::array();
   bool truncated = false;
-  for (const auto& [key, at] : items_) {
+  const auto& held = may_lag && lagging_ ? *lagging_ : items_;
+  for (const auto& [key, at] : held) {
     if (!StartsWith(key, prefix) || (!after.empty() && key <= after)) continue;
     if (items.size() == page_size_) {
       truncated = true;
--- a/testing/store_standin/store.h
+++ b/testing/store_standin/store.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   // Drops the history; waiting watches are cut.
   void Compact();
   void SetMode(store_mode mode);
+  // Reads that may lag get the items as they are now, from now on.
+  void FreezeLaggingReads() { lagging_ = items_; }
   void SetPageSize(std::size_t items) { page_size_ = items; }
   int Calls() const { return calls_; }
 
@@ -66,7 +69,7 @@
   static void OnWatchTime(evutil_socket_t, short, void* which);
   void Serve(evhttp_request* request);
   void ServeRange(evhttp_request* request, const std::string& prefix,
-                  const std::string& after);
+                  const std::string& after, bool may_lag);
   void ServeWatch(evhttp_request* request, const std::string& prefix,
                   std::uint64_t after, int wait_ms);
   // Answers the watch if it has events, or if its time is over.
@@ -82,6 +85,7 @@
   std::uint64_t oldest_ = 100;  // Changes after this are held.
   int calls_ = 0;
   std::map<std::string, item> items_;
+  std::optional<std::map<std::string, item>> lagging_;
   std::vector<change> history_;
   std::vector<watch*> watches_;
 };
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -211,12 +211,51 @@
   CHECK(count({4, 5, 6, 7, 8, 9}, kStart + seconds(4)) == 3);
 }
 
+// A fleet whose news come every 0.8 s lost every daemon for a moment with each
+// datagram that was lost.
+TEST_CASE("a daemon is silent by the period of its news") {
+  peer_table peers("10.0.0.1", 7);
+  peer_news news = NewsFrom("10.0.0.2", 5, 1);
+  news.heard_boot = 7;
+  news.period = milliseconds(830);
+  peers.OnNews(news, kStart);
+  CHECK(peers.IsReachable("10.0.0.2", kStart + milliseconds(1700)));
+  CHECK_FALSE(peers.IsReachable("10.0.0.2", kStart + milliseconds(2100)));
+  news.sequence = 2;
+  news.period = milliseconds(300);
+  peers.OnNews(news, kStart);
+  CHECK(peers.IsReachable("10.0.0.2", kStart + milliseconds(950)));
+  CHECK_FALSE(peers.IsReachable("10.0.0.2", kStart + milliseconds(1050)));
+}
+
+TEST_CASE("only daemons that read the source count as readers") {
+  peer_table peers("10.0.0.1", 7);
+  CHECK(peers.CountReadersBefore(kStart) == 0);
+  std::size_t before = 0;
+  for (int i = 2; i < 12; ++i) {
+    const std::string address = "10.0.0." + std::to_string(i);
+    peer_news news = NewsFrom(address, 5, 1);
+    peers.OnNews(news, kStart);
+    CHECK(peers.CountReadersBefore(kStart) == before);
+    const bool is_before = !peers.IsOneOf(before + 1, kStart);
+    news.sequence = 2;
+    news.reads_source = true;
+    peers.OnNews(news, kStart);
+    if (is_before) ++before;
+    CHECK(peers.CountReadersBefore(kStart) == before);
+  }
+  CHECK(before > 0);
+  CHECK(peers.CountReadersBefore(kStart + seconds(2)) == 0);
+}
+
 TEST_CASE("news survive encoding, and other bytes are refused") {
   peer_news news = NewsFrom("10.0.0.2", 0xfffffffeU, 1ULL << 40);
   news.uptime_ms = 123456;
   news.heard_sequence = 17;
   news.heard_boot = 3;
   news.stopping = true;
+  news.reads_source = true;
+  news.period = milliseconds(828);
   news.settings_revision = 900;
   news.upstreams_revision = 901;
   news.load = load_news{"i-1", 4, 2, 9, 120, 1.25};
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -255,7 +255,8 @@
       const std::string& after = "") {
     tl::expected<source_page, source_problem> result;
     bool done = false;
-    reader->ReadPage(source_area::kUpstreams, after, milliseconds(300),
+    reader->ReadPage(source_area::kUpstreams, after,
+                     node::read_quality::kCurrent, milliseconds(300),
                      [&](tl::expected<source_page, source_problem> page) {
                        result = std::move(page);
                        done = true;
