--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -362,7 +362,9 @@
   double Level(const std::string& tenant, instant now);
 
  private:
-  static constexpr duration kNewsMemory = std::chrono::seconds(3);
+  // Two periods of far news in the largest fleet whose news aren't stretched;
+  // a count that was lost is made good by the next, as counts only grow.
+  static constexpr duration kNewsMemory = std::chrono::milliseconds(1800);
   // Demand told longer ago counts as none.
   static constexpr duration kDemandMemory = std::chrono::milliseconds(1500);
 
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -16,8 +16,11 @@
 // Crossing zones costs this much of the score, for the way and the bytes.
 constexpr double kFarMs = 3;
 constexpr double kFarShare = 0.5;  // Of the call's usual time.
-// Candidates within this share of the best are equal; one is drawn.
-constexpr double kTieShare = 0.08;
+// Candidates whose score is within this part of the call's usual time of the
+// best are drawn from. The better one of two is taken: what is known of them is
+// as old as the news, and if all daemons took the best, it would be overrun
+// before the next news.
+constexpr double kDrawShare = 0.2;
 // A cold upstream is slow.
 constexpr double kColdFactor = 2;
 // Upstreams slow down when nearly full; spread calls before that.
@@ -93,10 +96,12 @@
   }
   if (scored.empty()) return std::nullopt;
   std::sort(scored.begin(), scored.end());
-  const double tie = scored.front().first * (1 + kTieShare);
-  std::size_t equal = 1;
-  while (equal < scored.size() && scored[equal].first <= tie) ++equal;
-  return scored[Random() % equal].second;
+  const double typical_ms =
+      std::chrono::duration<double, std::milli>(typical).count();
+  const double limit = scored.front().first + kDrawShare * typical_ms;
+  std::size_t drawn = 1;
+  while (drawn < scored.size() && scored[drawn].first <= limit) ++drawn;
+  return scored[std::min(Random() % drawn, Random() % drawn)].second;
 }
 
 void time_estimator::Observe(const std::string& key, duration took,
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -198,9 +198,9 @@
 // they live, make needless as a reader.
 void source_mirror::WatchInTime(area_state* at) {
   const instant decided_at = fleet_.started_at + kRoleDelay;
-  const std::vector<std::string> listed = fleet_.directory.Addresses();
   const bool is_needed =
-      !listed.empty() && fleet_.peers.IsOneOf(kReaders, listed);
+      At(source_area::kUpstreams).whole &&
+      fleet_.peers.IsOneOf(kReaders, fleet_.directory.Addresses());
   if (fleet_.loop.Now() >= decided_at || is_needed) {
     Watch(at);
     return;
