--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -10,6 +10,7 @@
 // planned stop or good settings, 1 if a port or a certificate can't be used, 2
 // for bad settings or arguments.
 
+#include <malloc.h>
 #include <tclap/CmdLine.h>
 
 #include <csignal>
@@ -105,7 +106,12 @@
   }
 }
 
+// Buffers above this size go back to the system when they are freed, so that a
+// large configuration doesn't set the memory that the daemon keeps.
+constexpr int kReturnedBytes = 64 * 1024;
+
 int RunOnPlatform() {
+  mallopt(M_MMAP_THRESHOLD, kReturnedBytes);
   const auto path = platform::SettingsPath();
   if (!path) {
     std::fprintf(stderr, "%s\n", path.error().c_str());
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -189,8 +189,8 @@
       at->read_revision = std::max(at->read_revision, item.revision);
     }
   }
-  Replace(at, at->read_items, at->read_revision, LapseGrace(*at));
-  at->read_items.clear();
+  Replace(at, std::exchange(at->read_items, {}), at->read_revision,
+          LapseGrace(*at));
   WatchInTime(at);
 }
 
@@ -229,20 +229,20 @@
         if (!page) {
           OnProblem(at, page.error());
         } else {
-          OnEvents(at, *page);
+          OnEvents(at, std::move(*page));
         }
       });
 }
 
-void source_mirror::OnEvents(area_state* at, const source_page& page) {
+void source_mirror::OnEvents(area_state* at, source_page page) {
   OnAnswered(at);
   bool changed = false;
-  for (const source_item& item : page.items) {
+  for (source_item& item : page.items) {
     if (item.removed) {
       Remove(at, item.key, item.revision, LapseGrace(*at));
       changed = true;
     } else {
-      changed = Apply(at, item) || changed;
+      changed = Apply(at, std::move(item)) || changed;
     }
   }
   at->revision = std::max(at->revision, page.revision);
@@ -325,12 +325,12 @@
 // ---------------------------------------------------------------------------
 // Items.
 
-bool source_mirror::Apply(area_state* at, const source_item& item) {
+bool source_mirror::Apply(area_state* at, source_item item) {
   source_item& held = at->items[item.key];
   if (held.revision >= item.revision && !held.key.empty()) return false;
   const bool same = !held.key.empty() && held.value == item.value;
-  held = item;
-  at->change_revision = std::max(at->change_revision, item.revision);
+  held = std::move(item);
+  at->change_revision = std::max(at->change_revision, held.revision);
   if (!same && on_item) on_item(at->area, held, duration{0});
   return !same;
 }
@@ -350,7 +350,7 @@
 }
 
 void source_mirror::Replace(area_state* at,
-                            const std::map<std::string, source_item>& items,
+                            std::map<std::string, source_item> items,
                             std::uint64_t revision, duration lapse_grace) {
   if (at->whole && revision < at->revision) return;
   std::vector<std::string> missing;
@@ -361,7 +361,7 @@
     Remove(at, key, 0, lapse_grace);
     NoteRemoval(at, key, revision);
   }
-  for (const auto& [key, item] : items) Apply(at, item);
+  for (auto& [key, item] : items) Apply(at, std::move(item));
   if (!at->whole) at->removals_since = revision;
   // Removals that only the read shows are as new as the read itself.
   if (!missing.empty()) at->change_revision = revision;
@@ -439,13 +439,13 @@
               {"items", std::to_string(items.size())},
               {"removals", std::to_string(from.at(5).size())}});
     if (is_full) {
-      Replace(&at, items, revision, grace);
+      Replace(&at, std::move(items), revision, grace);
     } else {
       for (const json& each : from.at(5)) {
         Remove(&at, each.at(0).get<std::string>(),
                each.at(1).get<std::uint64_t>(), grace);
       }
-      for (const auto& [key, item] : items) Apply(&at, item);
+      for (auto& [key, item] : items) Apply(&at, std::move(item));
       at.revision = revision;
       if (on_settled) on_settled(at.area);
     }
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -111,13 +111,13 @@
   void OnPage(area_state* at, source_page page);
   void WatchInTime(area_state* at);
   void Watch(area_state* at);
-  void OnEvents(area_state* at, const source_page& page);
+  void OnEvents(area_state* at, source_page page);
   void OnProblem(area_state* at, source_problem problem);
   void OnAnswered(area_state* at);
   // Replaces all items; tells what differs.
-  void Replace(area_state* at, const std::map<std::string, source_item>& items,
+  void Replace(area_state* at, std::map<std::string, source_item> items,
                std::uint64_t revision, duration lapse_grace);
-  bool Apply(area_state* at, const source_item& item);
+  bool Apply(area_state* at, source_item item);
   void NoteRemoval(area_state* at, const std::string& key,
                    std::uint64_t revision);
   void Remove(area_state* at, const std::string& key, std::uint64_t revision,
