--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -361,7 +361,7 @@
     Remove(at, key, 0, lapse_grace);
     NoteRemoval(at, key, revision);
   }
-  for (auto& [key, item] : items) Apply(at, std::move(item));
+  for (auto& each : items) Apply(at, std::move(each.second));
   if (!at->whole) at->removals_since = revision;
   // Removals that only the read shows are as new as the read itself.
   if (!missing.empty()) at->change_revision = revision;
@@ -445,7 +445,7 @@
         Remove(&at, each.at(0).get<std::string>(),
                each.at(1).get<std::uint64_t>(), grace);
       }
-      for (auto& [key, item] : items) Apply(&at, std::move(item));
+      for (auto& each : items) Apply(&at, std::move(each.second));
       at.revision = revision;
       if (on_settled) on_settled(at.area);
     }
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -52,10 +52,12 @@
   line.parse(argc, argv);
   EndChildrenOnSignals();
   int broken = 0;
-  for (int i = 0; i < seeds.getValue(); ++i) {
+  const auto first = static_cast<std::uint64_t>(seed.getValue());
+  const auto count = static_cast<std::uint64_t>(seeds.getValue());
+  for (std::uint64_t number = first; number < first + count; ++number) {
     soak_options options;
     options.programs = programs.getValue();
-    options.seed = static_cast<std::uint64_t>(seed.getValue() + i);
+    options.seed = number;
     options.folder = logs.getValue() + "/" + std::to_string(options.seed) +
                      "-" + std::to_string(getpid());
     options.daemons = daemons.getValue();
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -273,8 +273,8 @@
     timers_.After(time, sigc::slot<void()>([&over] { over = true; }));
     while (!over) event_base_loop(loop_.Base(), EVLOOP_ONCE);
   }
-  void After(milliseconds wait, std::function<void()> run) {
-    timers_.After(wait, sigc::slot<void()>(std::move(run)));
+  void After(milliseconds wait, const std::function<void()>& run) {
+    timers_.After(wait, sigc::slot<void()>(run));
   }
   int Draw(int least, int most) {
     return std::uniform_int_distribution<int>(least, most)(random_);
