A daemon that has just started is no reader; readers read at a peer's word

Cause: in its first 1.5 s a daemon told that it reads the source, though it didn't watch yet, so nobody stood in for readers that hadn't come back after a herd restart. A second: a reader between two watches waited up to 0.9 s to read at a peer's word; node_test, "upstreams that leave get no more calls", failed 2 of 5. Change: such a daemon tells that it doesn't read; the distance between reads at a peer's word is 0.15 s for readers, 0.9 s for followers. Before/after: the new test saw 7 readers, sees 3; the node tests pass 3 of 3.

--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -41,6 +41,8 @@
 // Reads at a peer's word come this far apart: with the way of the news and the
 // read itself, a change is in force within the least time that is allowed, 2 s.
 constexpr duration kNudgeAge = milliseconds(900);
+// The same for a reader between two watches: its last call isn't stuck.
+constexpr duration kReaderNudgeAge = milliseconds(150);
 // A call that failed tells nothing of the source after this time.
 constexpr duration kFaultMemory = milliseconds(3000);
 // Removals that are remembered for peers; a rolling release makes some tens.
@@ -205,7 +207,7 @@
     Watch(at);
     return;
   }
-  at->answer_due = decided_at;
+  at->answer_due = instant{};  // Until then it is no reader.
   at->retry_timer.disconnect();
   at->retry_timer = fleet_.timers.After(
       kRoleCheck, sigc::slot<void()>([this, at] { WatchInTime(at); }));
@@ -317,7 +319,8 @@
 
 void source_mirror::Nudge(source_area area) {
   area_state& at = At(area);
-  if (at.reading || fleet_.loop.Now() - at.asked_at < kNudgeAge) return;
+  const duration age = at.following ? kNudgeAge : kReaderNudgeAge;
+  if (at.reading || fleet_.loop.Now() - at.asked_at < age) return;
   at.retry_timer.disconnect();
   ReadAgain(&at);
 }
--- a/testing/unit/source_roles_test.cc
+++ b/testing/unit/source_roles_test.cc
@@ -85,6 +85,16 @@
   CHECK(TimeUntilAll(&fleet, 200) < seconds(2));
 }
 
+// All daemons of a restarted fleet counted as readers before they watched, so
+// that nobody stood in for readers that hadn't come back.
+TEST_CASE("a daemon that has just started is no reader") {
+  node_fleet fleet(7);
+  fleet.Start();
+  int readers = 0;
+  for (int i = 0; i < 7; ++i) readers += ReadsSource(&fleet, i) ? 1 : 0;
+  CHECK(readers == 3);
+}
+
 // A source that turns the readers away and serves the rest.
 TEST_CASE("readers that the source turns away are replaced") {
   node_fleet fleet(6);
