Don't run a call whose link closed before it was read

Cause: the daemon reads a call, hands it to its upstream, and only then reads the close that waits behind it on the same connection.

Change: egress and ingress peek at the connection before an attempt starts; a closed one is cancelled. The fixture holds its ports on an address that no daemon uses.

--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -113,6 +113,9 @@
   bool IsInMessage() const;
   // True if no byte waits that was received and not parsed.
   bool IsQuiet() const;
+  // True if the other end closed, also when the loop hasn't come to read that
+  // yet. Bytes that wait before the close hide it.
+  bool HasPeerClosed() const;
   int Socket() const;
 
   std::function<void(message_head)> on_head;
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -487,6 +487,11 @@
 }
 
 void egress::StartCall(const call_ptr& which) {
+  // A daemon that was held up reads a call and the close behind it at once.
+  if (which->conn->HasPeerClosed()) {
+    OnLinkClosed(which);
+    return;
+  }
   const instant now = fleet_.loop.Now();
   which->started = now;
   which->queued = false;
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -287,6 +287,11 @@
 }
 
 void ingress::TryNext(const call_ptr& which) {
+  // A daemon that was held up reads a call and the close behind it at once.
+  if (which->conn->HasPeerClosed()) {
+    OnCallerGone(which);
+    return;
+  }
   const instant now = fleet_.loop.Now();
   if (now >= which->deadline) {
     OnDeadline(which);
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -73,6 +73,18 @@
   return seconds;
 }
 
+enum class socket_state { kNothing, kBytes, kClosed };
+
+// What the kernel holds of a connection for the next read.
+socket_state PeekSocket(int socket) {
+  char byte = 0;
+  const ssize_t got = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) return socket_state::kBytes;
+  const bool nothing =
+      got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return nothing ? socket_state::kNothing : socket_state::kClosed;
+}
+
 }  // namespace
 
 // Handlers are called through copies: a handler may replace itself.
@@ -362,9 +374,11 @@
 bool connection::IsQuiet() const {
   if (stream_ == nullptr) return false;
   if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) return false;
-  char byte = 0;
-  const ssize_t got = recv(Socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return PeekSocket(Socket()) == socket_state::kNothing;
+}
+
+bool connection::HasPeerClosed() const {
+  return stream_ == nullptr || PeekSocket(Socket()) == socket_state::kClosed;
 }
 
 std::string connection::PeerAddress() const {
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -106,7 +106,7 @@
                        kUpstream = 4, kNews = 5;
 
   explicit node_fleet(int size) {
-    for (int i = 0; i < 6; ++i) ports.push_back(FreePort());
+    for (int i = 0; i < 6; ++i) ClaimPort();
     for (int i = 0; i < size; ++i) {
       upstreams.push_back(std::make_unique<upstream_standin>(net, Address(i),
                                                              ports[kUpstream]));
@@ -150,12 +150,19 @@
                  {"burst", 0}}}}};
   }
 
-  static int FreePort() {
+  ~node_fleet() {
+    for (const int each : claims) evutil_closesocket(each);
+  }
+  node_fleet(const node_fleet&) = delete;
+  node_fleet& operator=(const node_fleet&) = delete;
+
+  // Adds a port that no other fleet of this machine has. The daemons use it on
+  // other addresses than the one that claims it.
+  void ClaimPort() {
     const auto socket = net::OpenBoundSocket({"127.0.0.1", 0});
     REQUIRE(socket);
-    const int port = net::BoundPort(*socket);
-    evutil_closesocket(*socket);
-    return port;
+    ports.push_back(net::BoundPort(*socket));
+    claims.push_back(*socket);
   }
   static std::string Address(int i) {
     return "127.0.0." + std::to_string(11 + i);
@@ -287,6 +294,7 @@
 
   net::net_harness net;
   std::vector<int> ports;
+  std::vector<int> claims;  // Sockets that keep the ports from others.
   testing::store_standin store{net.loop.Base()};
   // A store of its own for a daemon, set before it starts.
   std::vector<std::unique_ptr<testing::store_standin>> stores;
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -1,5 +1,9 @@
 // Whole daemons against stand-ins: what callers and upstreams see.
 
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include "node/call_header.h"
 #include "node_fixture.h"
 
 namespace pimentohall::node {
@@ -189,6 +193,44 @@
   CHECK(fleet.net.loop.Now() - left < milliseconds(500));
 }
 
+// Guards GONE: permisos-sur-grown scale-2 seed 848738194131. A daemon short of
+// processor time started calls whose callers had closed long before.
+TEST_CASE("a call that was closed before it was read isn't run") {
+  node_fleet fleet(1);
+  fleet.Start();
+  const auto send_and_close = [&fleet](int port, const std::string& header) {
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = inet_addr(node_fleet::Address(0).c_str());
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
+    const std::string text = "GET /read/1 HTTP/1.1\r\nHost: a.example\r\n" +
+                             header + "X-Attempt-Id: late\r\n\r\n";
+    REQUIRE(send(caller, text.data(), text.size(), 0) ==
+            static_cast<ssize_t>(text.size()));
+    close(caller);
+    fleet.RunFor(milliseconds(200));
+  };
+  SUBCASE("by its caller") {
+    send_and_close(fleet.ports[node_fleet::kCallers],
+                   "Authorization: Token key-1\r\nX-Deadline-Ms: 2000\r\n");
+  }
+  SUBCASE("by its ingress") {
+    call_header call;
+    call.attempt = "a-1";
+    call.upstream = "i-0";
+    call.route = "read";
+    call.budget_ms = 2000;
+    call.aim_ms = 400;
+    call.typical_ms = 5;
+    send_and_close(fleet.ports[node_fleet::kPeers],
+                   std::string(kCallHeader) + ": " + EncodeCall(call) + "\r\n");
+  }
+  CHECK(fleet.Runs() == 0);
+  CHECK(fleet.Call(0, "GET", "/read/2")->status == 200);
+}
+
 TEST_CASE("silence ends at the sooner of budget and timeout") {
   node_fleet fleet(1);
   fleet.Start();
