A verb that follows one call through the logs of several VMs

Cause: the page for on-call engineers began with a grep over all logs; who takes part in a call, and what the daemons believed then, had to be put together by hand.

Change: pimentohall trace ID LOG... joins the lines of a call, of its attempts and of the calls made while it ran, with what the same daemons logged of their beliefs within 2 s, and ends with how the call ended and whether it ran.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -23,6 +23,7 @@
     {"status", RunStatus, "version in force, age and lag of daemons, by zone"},
     {"dump", RunDump, "print the state of a daemon"},
     {"explain", RunExplain, "tell why a call is admitted, refused or routed"},
+    {"trace", RunTrace, "join the logs of several daemons on one call"},
     {"watch", RunWatch, "follow the status of daemons"},
 };
 
--- /dev/null
+++ b/src/cli/trace_verb.cc
@@ -0,0 +1,90 @@
+// The verb that follows one call through the logs of several VMs: trace.
+
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "cli/call_trace.h"
+#include "cli/command_line.h"
+#include "cli/verbs.h"
+
+namespace pimentohall::cli {
+namespace {
+
+// A cause is mostly logged within seconds of the call.
+constexpr double kAroundS = 2;
+
+void PrintLine(const trace_line& line) {
+  std::cout << (line.is_of_call ? "* " : "  ") << line.time << " "
+            << line.source << " " << line.message;
+  for (const auto& [name, value] : line.fields) {
+    std::cout << " " << name << "=" << value;
+  }
+  std::cout << "\n";
+}
+
+void PrintJson(const call_trace& trace) {
+  nlohmann::ordered_json lines = nlohmann::ordered_json::array();
+  for (const trace_line& each : trace.lines) {
+    nlohmann::ordered_json fields = nlohmann::ordered_json::object();
+    for (const auto& [name, value] : each.fields) fields[name] = value;
+    lines.push_back({{"source", each.source},
+                     {"time", each.time},
+                     {"level", each.level},
+                     {"message", each.message},
+                     {"of_call", each.is_of_call},
+                     {"fields", fields}});
+  }
+  const nlohmann::ordered_json out = {{"verdict", trace.Verdict()},
+                                      {"lines", lines},
+                                      {"unreadable_lines", trace.unreadable}};
+  std::cout << out.dump(2) << "\n";
+}
+
+}  // namespace
+
+int RunTrace(arguments args) {
+  command_line line(
+      "Joins what the logs of several daemons say of one call, the calls made "
+      "while it ran, and what the daemons came to believe around it. Times are "
+      "those of each VM's clock");
+  TCLAP::UnlabeledValueArg<std::string> request("request", "id of the call",
+                                                true, "", "ID", line);
+  TCLAP::UnlabeledMultiArg<std::string> logs(
+      "log", "standard output of a daemon, one file for each VM", true, "LOG",
+      line);
+  TCLAP::ValueArg<double> around(
+      "", "around",
+      "seconds around the call in which lines without a call are shown", false,
+      kAroundS, "seconds", line);
+  line.parse(args);
+
+  trace_builder builder(request.getValue(), around.getValue());
+  for (const std::string& path : logs.getValue()) {
+    std::ifstream log(path);
+    if (!log) {
+      std::cerr << "pimentohall: " << path << ": can't be read\n";
+      return kFileError;
+    }
+    builder.Read(path, log);
+  }
+  const call_trace trace = builder.Build();
+  if (line.Json()) {
+    PrintJson(trace);
+  } else {
+    for (const trace_line& each : trace.lines) PrintLine(each);
+    if (trace.unreadable > 0) {
+      std::cerr << "pimentohall: " << trace.unreadable
+                << " lines are no log lines\n";
+    }
+  }
+  if (trace.End() == nullptr) {
+    std::cerr << "pimentohall: no line tells how " << request.getValue()
+              << " ended\n";
+    return kFaulty;
+  }
+  if (!line.Json()) std::cout << trace.Verdict() << "\n";
+  return kOk;
+}
+
+}  // namespace pimentohall::cli
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -25,6 +25,7 @@
 int RunStatus(arguments args);
 int RunDump(arguments args);
 int RunExplain(arguments args);
+int RunTrace(arguments args);
 int RunWatch(arguments args);
 
 }  // namespace pimentohall::cli
