Split egress and ingress by concept; attempts' fates in a class of their own

Change: egress into arrival and start, the upstream, answers and ends; ingress into arrival and attempts, answers and ends. attempt_register in library mesh holds the fates, with a test. The limits of held bodies and the whole milliseconds on the wire exist once.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -16,6 +16,7 @@
 //   target_picker   which upstream takes the next attempt
 //   work_queue      which call waiting for an upstream starts next
 //   warmup_gate     whether a cold upstream bears one more call
+//   attempt_register which attempts an ingress was told will never run
 //   patch_history   which patches bring a peer's older value up to date
 //
 // Durations and instants are `core::duration` (microseconds) and
@@ -600,6 +601,34 @@
   instant filled_at_{};
 };
 
+// ---------------------------------------------------------------------------
+// Attempts whose link broke.
+
+// What an egress remembers of attempts, for an ingress that asks whether one
+// ran. An attempt that was barred will never start; one that started can't be
+// barred any more.
+class attempt_register {
+ public:
+  // An ingress asks within its call's budget.
+  static constexpr duration kMemory = std::chrono::seconds(60);
+  // Bounds the memory; the oldest are forgotten first.
+  static constexpr std::size_t kMost = 20'000;
+
+  void NoteStarted(const std::string& attempt, instant now);
+  void Bar(const std::string& attempt, instant now);
+  bool HasStarted(const std::string& attempt) const;
+  bool IsBarred(const std::string& attempt) const;
+  // Forgets what is too old or too much; call often.
+  void Expire(instant now);
+
+ private:
+  enum class fate { kStarted, kBarred };
+  void Note(const std::string& attempt, fate what, instant now);
+
+  std::unordered_map<std::string, fate> fates_;
+  std::deque<std::pair<instant, std::string>> order_;
+};
+
 // ---------------------------------------------------------------------------
 // Large values between peers.
 
--- a/src/node/call_header.h
+++ b/src/node/call_header.h
@@ -15,6 +15,9 @@
 
 // Whole milliseconds on the wire between daemons.
 using duration_ms = std::int64_t;
+inline duration_ms WholeMs(core::duration of) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(of).count();
+}
 
 inline constexpr char kCallHeader[] = "X-Pimentohall-Call";
 inline constexpr char kOutcomeHeader[] = "X-Pimentohall-Outcome";
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -11,14 +11,12 @@
 // or cancelled.
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "core/crash_guard.h"
@@ -93,6 +91,7 @@
   void OnUpstreamUp();
   void OnUpstreamDown();
   void NoteLost(const call& which);
+  void ExpireCrashNews(instant now);
   void Probe();
   void OnHealth(const health_answer& health);
   void SetCold(duration left);
@@ -115,9 +114,7 @@
   std::unordered_map<std::uint64_t, call_ptr> calls_;  // By queue id.
   std::unordered_map<std::uint64_t, call_ptr> running_;
   std::unordered_map<std::string, std::uint64_t> by_attempt_;
-  // Attempts that must not start: an ingress was told that they didn't run.
-  std::unordered_set<std::string> barred_;
-  std::deque<std::pair<instant, std::string>> barred_order_;
+  mesh::attempt_register attempts_;
   mesh::work_queue queue_;
   mesh::warmup_gate gate_;
   mesh::time_estimator times_;
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -687,6 +687,38 @@
   CHECK(starts <= work_queue::kTurnOfOldest);
 }
 
+// ---------------------------------------------------------------------------
+// Attempts whose link broke.
+
+TEST_CASE("an attempt's fate is told for a while and never changes") {
+  attempt_register attempts;
+  CHECK_FALSE(attempts.HasStarted("a"));
+  CHECK_FALSE(attempts.IsBarred("a"));
+  attempts.Bar("a", kStart);
+  attempts.NoteStarted("b", kStart + seconds(1));
+  CHECK(attempts.IsBarred("a"));
+  CHECK(attempts.HasStarted("b"));
+  attempts.NoteStarted("a", kStart + seconds(2));
+  attempts.Bar("b", kStart + seconds(2));
+  CHECK_FALSE(attempts.HasStarted("a"));
+  CHECK_FALSE(attempts.IsBarred("b"));
+  attempts.Expire(kStart + attempt_register::kMemory);
+  CHECK(attempts.IsBarred("a"));
+  attempts.Expire(kStart + attempt_register::kMemory + milliseconds(1));
+  CHECK_FALSE(attempts.IsBarred("a"));
+  CHECK(attempts.HasStarted("b"));
+}
+
+TEST_CASE("the oldest fates make room") {
+  attempt_register attempts;
+  for (std::size_t i = 0; i <= attempt_register::kMost; ++i) {
+    attempts.Bar(std::to_string(i), kStart);
+  }
+  attempts.Expire(kStart);
+  CHECK_FALSE(attempts.IsBarred("0"));
+  CHECK(attempts.IsBarred("1"));
+}
+
 // ---------------------------------------------------------------------------
 // Large values.
 
