--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -437,10 +437,11 @@
   if (base != 0 && (held == nullptr || held->revision != base)) {
     return tl::unexpected("a patch of revision " + std::to_string(base));
   }
+  std::string_view onto;
+  if (base != 0) onto = held->value;
   const json::binary_t& packed = from.at(1).get_binary();
   auto value = mesh::Unpack(
-      {reinterpret_cast<const char*>(packed.data()), packed.size()},
-      base != 0 ? std::string_view(held->value) : std::string_view(),
+      {reinterpret_cast<const char*>(packed.data()), packed.size()}, onto,
       kMaxValueBytes);
   if (!value) return tl::unexpected(value.error());
   item.value = std::move(*value);
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -42,6 +42,7 @@
 constexpr milliseconds kLastPhase(3000);
 constexpr double kServedAfterRecovery = 0.95;
 constexpr int kZones = 3;
+constexpr int kOtherRoutes = 100;  // Some 20 KB of settings.
 
 enum port {
   kCallers,
@@ -216,6 +217,13 @@
                         {"maxAttempts", 2},
                         {"service", "ledger"}});
     }
+    // Enough routes that daemons pass the settings on as patches.
+    for (int i = 0; i < kOtherRoutes; ++i) {
+      json other = routes.front();
+      other["name"] = "other-" + std::to_string(i);
+      other["prefix"] = "/other-" + std::to_string(i) + "/";
+      routes.push_back(other);
+    }
     const json document = {
         {"version", "r" + std::to_string(version_)},
         {"routes", routes},
