A daemon that has just started is introduced at once

Change: the first news go out as soon as configuration and upstreams are known, and a peer answers the first news of a start at once.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -222,6 +222,12 @@
     }
     fleet_.retries.SetFleet(fleet_.directory.Addresses().size());
     egress_.OnDirectory();
+    // The others answer the first news at once, so that calls find them without
+    // waiting for their next turn.
+    if (!introduced_ && fleet_.config && !fleet_.directory.Entries().empty()) {
+      introduced_ = true;
+      Announce();
+    }
   }
 
   // -------------------------------------------------------------------------
@@ -312,6 +318,17 @@
     }
   }
 
+  // Answers the first news of a daemon's start: it then knows that the way to
+  // this one works, and what was admitted here.
+  void Introduce(const std::string& address) {
+    const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
+    const duration near = PeriodFor(kNearNewsPeriod, kNearNewsFleet);
+    const duration far =
+        PeriodFor(kNearNewsPeriod * kFarNewsPeriods, kFarNewsFleet);
+    news_.Send(address, NewsFor(fleet_.peers.Find(address),
+                                is_near ? near : far, instant{}));
+  }
+
   // Tells all peers at once of a change.
   void Announce() { SendNews(true); }
 
@@ -331,6 +348,9 @@
       ingress_.OnPeerRestarted(news.address);
     }
     const bool is_first = what == mesh::peer_table::change::kFirst;
+    if (is_first || what == mesh::peer_table::change::kNewBoot) {
+      Introduce(news.address);
+    }
     fleet_.allotments.OnNews(news, is_first, now);
     if (news.load) fleet_.picker.OnNews(*news.load, now);
     for (const core::crash_report& report : news.crashes) {
@@ -468,6 +488,7 @@
   std::set<std::string> zones_out_;
   bool directory_changed_ = false;
   std::uint64_t news_sequence_ = 0;
+  bool introduced_ = false;  // The first news went out.
   instant near_news_at_{};
   instant far_news_at_{};
   std::set<std::string> lost_peers_;
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -231,6 +231,27 @@
   CHECK(fleet.Call(0, "GET", "/read/2")->status == 200);
 }
 
+// Guards the seconds after a herd of daemons restarts: permisos inc-0043
+// refused 327 calls for want of an upstream that was there.
+TEST_CASE("a daemon that has just started finds the others at once") {
+  node_fleet fleet(4);
+  fleet.Start();
+  fleet.PutEntry(0, "draining");
+  fleet.RunFor(milliseconds(800));
+  fleet.nodes.erase(0);
+  fleet.StartNode(0);
+  const core::instant began = fleet.net.loop.Now();
+  int status = 0;
+  for (int tries = 0; tries < 100 && status != 200; ++tries) {
+    status = fleet.Call(0, "GET", "/read/1")->status;
+    if (status != 200) fleet.RunFor(milliseconds(5));
+  }
+  CHECK(status == 200);
+  const auto took = fleet.net.loop.Now() - began;
+  MESSAGE("first answer after us: " << took.count());
+  CHECK(took < milliseconds(200));
+}
+
 TEST_CASE("silence ends at the sooner of budget and timeout") {
   node_fleet fleet(1);
   fleet.Start();
