Keep a call while it is refused

Cause: calls given back by the queue were refused through a reference into the table of calls, which the end of the call erases: a read of freed memory, found by AddressSanitizer in node_test through the refusal of overtaken calls. The same stood before in the refusals of expired calls, of a queue that is dropped and of an upstream that is down.

Change: a copy is held at these four places. Before: node_test under ASan ended with heap-use-after-free in Forget.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -230,7 +230,9 @@
       upstream_ && !upstream_->draining && state_ != upstream_state::kDown;
   if (!may_start) {
     for (const mesh::work_item& each : queue_.Clear()) {
-      Refuse(calls_.at(each.id), core::reason::kStopping, kIngressRetryAfter);
+      // A copy: the end of the call drops the one in the table.
+      const call_ptr which = calls_.at(each.id);
+      Refuse(which, core::reason::kStopping, kIngressRetryAfter);
     }
     return;
   }
@@ -250,7 +252,9 @@
     }
   }
   for (const mesh::work_item& each : queue_.Expire(now)) {
-    Refuse(calls_.at(each.id), core::reason::kDeadline, kIngressRetryAfter);
+    // A copy: the end of the call drops the one in the table.
+    const call_ptr which = calls_.at(each.id);
+    Refuse(which, core::reason::kDeadline, kIngressRetryAfter);
   }
   ScheduleWake();
 }
@@ -348,7 +352,9 @@
       (queue_.Work() + running) / std::max(1, upstream_->slots);
   for (const mesh::work_item& each :
        queue_.DropOvertaken(upstream_->slots, running, now)) {
-    Refuse(calls_.at(each.id), core::reason::kQueueFull, room_in);
+    // A copy: the end of the call drops the one in the table.
+    const call_ptr which = calls_.at(each.id);
+    Refuse(which, core::reason::kQueueFull, room_in);
   }
 }
 
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -144,8 +144,9 @@
   }
   lost_.clear();
   for (const mesh::work_item& each : queue_.Clear()) {
-    Refuse(calls_.at(each.id), core::reason::kConnectFailed,
-           kIngressRetryAfter);
+    // A copy: the end of the call drops the one in the table.
+    const call_ptr which = calls_.at(each.id);
+    Refuse(which, core::reason::kConnectFailed, kIngressRetryAfter);
   }
 }
 
