--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -5,11 +5,12 @@
 // buffering a whole message.
 //
 //   stream::server server(loop, timers, options);
-//   server.on_request = [&server](std::shared_ptr<stream::connection> conn,
+//   server.on_request = [&server](std::shared_ptr<stream::server_exchange>
+//   call,
 //                                 stream::message_head head) {
-//     conn->SendHead(answer_head);
-//     conn->SendEnd();
-//     server.FinishRequest(conn);
+//     call->SendHead(answer_head);
+//     call->SendEnd();
+//     server.FinishRequest(call);
 //   };
 //   server.Listen();
 //
@@ -54,6 +55,8 @@
   int status = 0;
   // Received heads lack the framing and hop-by-hop headers and `Expect`.
   net::header_list headers;
+  // Requests: the sender waits for permission before it sends the body.
+  bool expects_continue = false;
   body_framing framing = body_framing::kNone;
   std::uint64_t length = 0;  // Body bytes, with kLength.
   bool close = false;        // The sender closes after this message.
@@ -101,8 +104,12 @@
   // Closes at once. Bytes not sent yet are dropped.
   void Close();
   // Closes once everything is sent, and then calls `on_closed`, possibly from
-  // inside this call.
+  // inside this call. If received bytes are still unparsed, it sends the end of
+  // its own bytes first and waits for the peer's close: closing at once would
+  // reset the connection and could destroy what was sent.
   void CloseWhenSent();
+  // Server side: permits the peer to send the body of the current request.
+  void SendContinue();
   // Stops or resumes reading, for back-pressure.
   void SetReading(bool on);
   // The received message is dealt with; the next one may be read: a request on
@@ -133,6 +140,10 @@
   std::function<void(end_reason)> on_closed;
   // Called when `UnsentBytes` falls to zero.
   std::function<void()> on_drained;
+  // Server side: the received bytes aren't HTTP/1.1. Nothing more is parsed;
+  // the receiver closes the connection. Unset: it is closed at once. The status
+  // tells the caller why.
+  std::function<void(int status)> on_bad_message;
 
  private:
   friend class detail::parser;
@@ -142,6 +153,7 @@
   static void CountSent(evbuffer* output, const evbuffer_cb_info* info,
                         void* self);
   void Parse();
+  void DropReceivedBytes();
   void CloseAndReport(end_reason reason);
 
   const side side_;
@@ -149,6 +161,7 @@
   std::unique_ptr<detail::parser> parser_;
   bool chunked_out_ = false;
   bool close_when_sent_ = false;
+  bool drops_received_ = false;  // Received bytes are no longer parsed.
   bool reading_ = true;
   std::size_t sent_bytes_ = 0;
 };
@@ -159,11 +172,83 @@
   core::duration idle_timeout{0};
   // The maximum time for a request's head, counted from the first check (one a
   // second) that finds part of it; not applied if `idle_timeout` is 0. Heads of
-  // more than 80 KB, http-parser's limit, close the connection.
+  // more than 80 KB, http-parser's limit, are answered 431.
   core::duration head_timeout{0};
+  // Requests of one connection that are passed on before the first of them is
+  // answered. Beyond it, at most 64 KB per connection are read ahead.
+  std::size_t max_pipelined = 1;
 };
 
-// Accepts connections and passes on requests, one at a time per connection.
+class server;
+
+// One request that a server received, and its answer. Answers leave in the
+// order of the requests: until all earlier requests on the connection are
+// answered, an answer is held.
+//
+// Handlers are called in the order data, end; `on_closed` at most once, when
+// the connection ended before `server::FinishRequest`.
+class server_exchange : public std::enable_shared_from_this<server_exchange> {
+ public:
+  // `head.close` asks for a close after the last request that was passed on;
+  // only that one's answer announces the close.
+  void SendHead(message_head head);
+  void SendData(std::string_view bytes);
+  void SendEnd();
+  // Permits a caller that asked for it to send the body. Without effect once
+  // the answer has begun.
+  void AcceptBody();
+  // Stops or resumes reading the request's body, for back-pressure.
+  void SetReading(bool on);
+  // Bytes of answers that aren't written to the socket yet: this answer's while
+  // it is held, and then the connection's.
+  std::size_t UnsentBytes() const;
+  // True if no earlier request of the connection is unanswered.
+  bool IsFirst() const { return first_; }
+  // True if the connection ended, even if the event loop hasn't noticed yet.
+  bool HasPeerClosed() const;
+  // The caller's IPv4 address without the port; empty if unknown.
+  std::string PeerAddress() const;
+  // Closes the connection at once. No handler of this exchange is called
+  // afterwards.
+  void Close();
+  // The connection, shared with other exchanges. Stand-ins for faulty servers
+  // write to it directly.
+  const std::shared_ptr<connection>& Connection() const { return conn_; }
+
+  std::function<void(std::string_view)> on_data;
+  std::function<void()> on_end;
+  std::function<void(end_reason)> on_closed;
+  // Called when `UnsentBytes` falls to zero.
+  std::function<void()> on_drained;
+  // Called when all earlier requests are answered, unless that holds from the
+  // start.
+  std::function<void()> on_first;
+
+ private:
+  friend class server;
+  void ClearHandlers();
+  // Writes what was held.
+  void Flush();
+
+  server* server_ = nullptr;  // Null once the exchange left its connection.
+  std::shared_ptr<connection> conn_;
+  bool first_ = false;
+  bool expects_continue_ = false;
+  bool received_ = false;  // The whole request was received.
+  bool answered_ = false;  // The answer has begun.
+  bool finished_ = false;  // The answer is complete.
+  // The held answer.
+  std::optional<message_head> held_head_;
+  std::string held_data_;
+  bool held_end_ = false;
+};
+
+// Accepts connections and passes on their requests. Up to
+// `server_options::max_pipelined` requests of one connection are passed on
+// before the first is answered.
+//
+// A malformed request is answered 400 (431 if its head is too long) after all
+// requests before it; then the connection closes.
 class server {
  public:
   server(net::event_loop& loop, net::timer_service& timers,
@@ -178,32 +263,44 @@
   void SetTimeouts(core::duration idle_timeout, core::duration head_timeout);
   std::size_t Connections() const { return connections_.size(); }
 
-  // Called with a request's head. The receiver sets the connection's other
-  // handlers, sends one answer and calls `FinishRequest`, or closes the
-  // connection.
-  std::function<void(std::shared_ptr<connection>, message_head)> on_request;
-  // Tells the server that the answer to the connection's request is complete.
-  // The connection closes if the request's head asked for that or the server is
-  // stopping.
-  void FinishRequest(const std::shared_ptr<connection>& conn);
-  // Closes the connection at once, even in the middle of an answer.
-  void Abort(const std::shared_ptr<connection>& conn);
+  // Called with a request's head. The receiver sets the exchange's handlers,
+  // sends one answer and calls `FinishRequest`, or closes the connection.
+  std::function<void(std::shared_ptr<server_exchange>, message_head)>
+      on_request;
+  // Tells the server that the exchange's answer is complete. After the last
+  // answer, the connection closes if a caller or an answer asked for that or
+  // the server is stopping.
+  void FinishRequest(const std::shared_ptr<server_exchange>& call);
+  // Closes the connection at once, even in the middle of an answer. The other
+  // exchanges on it are told.
+  void Abort(const std::shared_ptr<server_exchange>& call);
 
  private:
+  friend class server_exchange;
   struct client_state {
     std::shared_ptr<connection> conn;
-    bool busy = false;         // A request was passed on and isn't done.
-    bool close_after = false;  // The caller asked for it.
+    // Requests in order of arrival. The last one may still be arriving.
+    std::deque<std::shared_ptr<server_exchange>> pending;
+    bool close_after = false;  // No further requests are read.
     core::instant idle_since{};
-    core::instant head_started{};  // When part of a head was seen; 0: none.
+    core::instant head_started{};   // When part of a head was seen; 0: none.
+    core::instant closing_since{};  // Waits for the caller's close; 0: not.
   };
   static void OnAccept(evconnlistener* listener, int socket, void* address,
                        int size, void* self);
   void Accept(int socket);
   void InstallHandlers(client_state* client);
-  void Finish(client_state* client);
-  void RemoveConnection(connection* conn);
-  // Closes a connection without a request once its last answer is sent.
+  client_state* FindClient(const server_exchange& call);
+  void OnHead(client_state* client, message_head head);
+  void OnRequestEnd(client_state* client);
+  void OnBadMessage(client_state* client, int status);
+  void OnConnectionClosed(connection* conn, end_reason reason);
+  std::shared_ptr<server_exchange> AddExchange(client_state* client);
+  // Removes answered exchanges, and starts the answers of the next ones.
+  void Advance(client_state* client);
+  void ReadNextRequest(client_state* client);
+  void WriteHead(const server_exchange& call, message_head head);
+  // Closes a connection without requests once its last answer is sent.
   void CloseAfterAnswer(client_state* client);
   void CloseUnusedIf(const std::function<bool(const client_state&)>& is_due);
   void CloseExpired();
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -42,10 +42,11 @@
             {kUpstreamIdleTimeout, kUpstreamSilenceTimeout, kConnectTimeout,
              kMaxConnectionsPerUpstream}),
       probes_(fleet.loop, fleet.timers, 1) {
-  server_.on_request = [this](const std::shared_ptr<stream::connection>& conn,
-                              stream::message_head head) {
-    OnRequest(conn, std::move(head));
-  };
+  server_.on_request =
+      [this](const std::shared_ptr<stream::server_exchange>& inbound,
+             stream::message_head head) {
+        OnRequest(inbound, std::move(head));
+      };
   tick_timer_ =
       fleet_.timers.Every(kTickPeriod, sigc::slot<void()>([this] { Tick(); }));
 }
@@ -60,27 +61,27 @@
 // ---------------------------------------------------------------------------
 // Arrival.
 
-void egress::OnRequest(const std::shared_ptr<stream::connection>& conn,
+void egress::OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                        stream::message_head head) {
   if (head.target.rfind(kMirrorPath, 0) == 0) {
-    Reply(conn, 200, kCborType,
+    Reply(inbound, 200, kCborType,
           on_mirror_request ? on_mirror_request(head.target) : "");
     return;
   }
   if (head.target.rfind(kAttemptPath, 0) == 0) {
-    OnAttemptQuery(conn, head.target.substr(sizeof(kAttemptPath) - 1));
+    OnAttemptQuery(inbound, head.target.substr(sizeof(kAttemptPath) - 1));
     return;
   }
   auto info = DecodeCall(net::FindHeader(head.headers, kCallHeader));
   if (!info) {
     net::Log(core::log_level::kWarning, "call without a readable header",
-             {{"peer", conn->PeerAddress()}, {"problem", info.error()}});
-    Reply(conn, 400, kTextType, "not a call of a daemon");
+             {{"peer", inbound->PeerAddress()}, {"problem", info.error()}});
+    Reply(inbound, 400, kTextType, "not a call of a daemon");
     return;
   }
   auto new_call = std::make_shared<call>();
   new_call->id = ++last_id_;
-  new_call->conn = conn;
+  new_call->inbound = inbound;
   new_call->info = std::move(*info);
   new_call->caller_id = fleet_.dialect.ReadRequest(head).id;
   new_call->received = fleet_.loop.Now();
@@ -91,32 +92,35 @@
   new_call->head = std::move(head);
   calls_[new_call->id] = new_call;
   by_attempt_[new_call->info.attempt] = new_call->id;
-  conn->on_data = [this, new_call](std::string_view bytes) {
+  inbound->on_data = [this, new_call](std::string_view bytes) {
     OnBody(new_call, bytes);
   };
-  conn->on_end = [this, new_call] { OnBodyEnd(new_call); };
-  conn->on_closed = [this, new_call](stream::end_reason) {
+  inbound->on_end = [this, new_call] { OnBodyEnd(new_call); };
+  inbound->on_closed = [this, new_call](stream::end_reason) {
     OnLinkClosed(new_call);
   };
+  inbound->AcceptBody();
 }
 
-void egress::Reply(const std::shared_ptr<stream::connection>& conn, int status,
-                   const std::string& type, const std::string& body) {
+void egress::Reply(const std::shared_ptr<stream::server_exchange>& inbound,
+                   int status, const std::string& type,
+                   const std::string& body) {
   stream::message_head head;
   head.status = status;
   head.headers.emplace_back("Content-Type", type);
   head.framing = stream::body_framing::kLength;
   head.length = body.size();
-  conn->SendHead(head);
-  conn->SendData(body);
-  conn->SendEnd();
-  server_.FinishRequest(conn);
+  inbound->SendHead(head);
+  inbound->SendData(body);
+  inbound->SendEnd();
+  server_.FinishRequest(inbound);
 }
 
 // Answers whether an attempt ran. An attempt that is unknown or still queued is
 // barred, so that it never runs.
-void egress::OnAttemptQuery(const std::shared_ptr<stream::connection>& conn,
-                            const std::string& attempt) {
+void egress::OnAttemptQuery(
+    const std::shared_ptr<stream::server_exchange>& inbound,
+    const std::string& attempt) {
   const auto found = by_attempt_.find(attempt);
   bool not_run = false;
   if (found == by_attempt_.end()) {
@@ -127,11 +131,11 @@
     if (not_run) {
       queue_.Remove(call->id);
       RemoveCall(call);
-      server_.Abort(call->conn);
+      server_.Abort(call->inbound);
     }
   }
   if (not_run) attempts_.Bar(attempt, fleet_.loop.Now());
-  Reply(conn, 200, kTextType, not_run ? "not_run" : "may_have_run");
+  Reply(inbound, 200, kTextType, not_run ? "not_run" : "may_have_run");
 }
 
 void egress::OnBody(const call_ptr& call, std::string_view bytes) {
@@ -139,7 +143,7 @@
   if (call->exchange != nullptr) {
     call->exchange->SendData(bytes);
     if (call->exchange->UnsentBytes() > kMaxUnsentBytes) {
-      call->conn->SetReading(false);
+      call->inbound->SetReading(false);
     }
     return;
   }
@@ -148,7 +152,7 @@
   call->streams_body = true;
   Enqueue(call);
   if (!call->finished && call->exchange == nullptr) {
-    call->conn->SetReading(false);
+    call->inbound->SetReading(false);
   }
 }
 
@@ -287,7 +291,7 @@
 void egress::StartCall(const call_ptr& call) {
   // After a stall, the daemon may read a call and the end of its connection in
   // the same turn of the loop.
-  if (call->conn->HasPeerClosed()) {
+  if (call->inbound->HasPeerClosed()) {
     OnLinkClosed(call);
     return;
   }
@@ -318,7 +322,7 @@
   handlers.on_failed = [this, call](stream::failure failure) {
     OnFailed(call, failure);
   };
-  handlers.on_drained = [call] { call->conn->SetReading(true); };
+  handlers.on_drained = [call] { call->inbound->SetReading(true); };
   const auto is_own =
       [this, id = call->caller_id](const stream::message_head& answer) {
         const upstream_answer facts = fleet_.dialect.ReadAnswer(answer);
@@ -338,7 +342,7 @@
     call->exchange->SendEnd();
   } else {
     call->body.clear();
-    call->conn->SetReading(true);
+    call->inbound->SetReading(true);
   }
 }
 
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -55,12 +55,12 @@
   using call_ptr = std::shared_ptr<call>;
   enum class upstream_state { kUnknown, kUp, kDown };
 
-  void OnRequest(const std::shared_ptr<stream::connection>& conn,
+  void OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                  stream::message_head head);
-  void OnAttemptQuery(const std::shared_ptr<stream::connection>& conn,
+  void OnAttemptQuery(const std::shared_ptr<stream::server_exchange>& inbound,
                       const std::string& attempt);
-  void Reply(const std::shared_ptr<stream::connection>& conn, int status,
-             const std::string& type, const std::string& body);
+  void Reply(const std::shared_ptr<stream::server_exchange>& inbound,
+             int status, const std::string& type, const std::string& body);
   void OnBody(const call_ptr& call, std::string_view bytes);
   void OnBodyEnd(const call_ptr& call);
   core::reason FindRefusal(const call& call, instant now) const;
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -31,8 +31,8 @@
     SendAnswer(call);
     return;
   }
-  call->conn->SendData(bytes);
-  if (call->conn->UnsentBytes() > kMaxUnsentBytes && call->exchange) {
+  call->inbound->SendData(bytes);
+  if (call->inbound->UnsentBytes() > kMaxUnsentBytes && call->exchange) {
     call->exchange->SetReading(false);
   }
 }
@@ -63,16 +63,16 @@
   }
   fleet_.metrics.ObserveUpstream(OutcomeName(result), took);
   if (call->streams_answer) {
-    call->conn->SendEnd();
+    call->inbound->SendEnd();
     LogEnd(*call, result, reason);
     RemoveCall(call);
-    server_.FinishRequest(call->conn);
+    server_.FinishRequest(call->inbound);
   } else if (result == outcome::kAnswered) {
     SendAnswer(call);
-    call->conn->SendEnd();
+    call->inbound->SendEnd();
     LogEnd(*call, result, reason);
     RemoveCall(call);
-    server_.FinishRequest(call->conn);
+    server_.FinishRequest(call->inbound);
   } else {
     SendOutcome(call, result, reason, {});
   }
@@ -110,10 +110,10 @@
     head.length = call->answer_body.size();
   }
   call->streams_answer = true;
-  call->conn->SendHead(head);
-  call->conn->SendData(call->answer_body);
+  call->inbound->SendHead(head);
+  call->inbound->SendData(call->answer_body);
   call->answer_body.clear();
-  call->conn->on_drained = [call] {
+  call->inbound->on_drained = [call] {
     if (call->exchange) call->exchange->SetReading(true);
   };
 }
@@ -128,7 +128,7 @@
     // The ingress must detect that the answer is truncated.
     LogEnd(*call, outcome::kMayHaveRun, core::reason::kConnectionLost);
     RemoveCall(call);
-    server_.Abort(call->conn);
+    server_.Abort(call->inbound);
     RecordLostCall(*call);
     StartQueuedCalls();
     return;
@@ -163,11 +163,11 @@
   head.status = 503;
   head.headers.emplace_back(kOutcomeHeader, EncodeOutcome(outcome_info));
   head.framing = stream::body_framing::kLength;
-  call->conn->SendHead(head);
-  call->conn->SendEnd();
+  call->inbound->SendHead(head);
+  call->inbound->SendEnd();
   LogEnd(*call, result, reason);
   RemoveCall(call);
-  server_.FinishRequest(call->conn);
+  server_.FinishRequest(call->inbound);
 }
 
 void egress::LogEnd(const call& call, outcome result, core::reason reason) {
@@ -210,7 +210,7 @@
   LogEnd(*call, ran ? outcome::kMayHaveRun : outcome::kNotRun,
          core::reason::kCancelled);
   RemoveCall(call);
-  server_.Abort(call->conn);
+  server_.Abort(call->inbound);
   StartQueuedCalls();
 }
 
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -17,7 +17,7 @@
 
 struct egress::call {
   std::uint64_t id = 0;
-  std::shared_ptr<stream::connection> conn;
+  std::shared_ptr<stream::server_exchange> inbound;
   stream::message_head head;
   call_header info;
   std::string caller_id;  // The caller's own id of its request.
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -32,15 +32,17 @@
 
 ingress::ingress(fleet_state& fleet)
     : fleet_(fleet),
-      server_(fleet.loop, fleet.timers, {fleet.settings.callers, {}, {}}),
+      server_(fleet.loop, fleet.timers,
+              {fleet.settings.callers, {}, {}, fleet.settings.max_pipelined}),
       pool_(fleet.loop, fleet.timers,
             {kLinkIdleTimeout, kLinkSilenceTimeout, kLinkConnectTimeout,
              kMaxLinksPerPeer}),
       attempt_queries_(fleet.loop, fleet.timers) {
-  server_.on_request = [this](const std::shared_ptr<stream::connection>& conn,
-                              stream::message_head head) {
-    OnRequest(conn, std::move(head));
-  };
+  server_.on_request =
+      [this](const std::shared_ptr<stream::server_exchange>& inbound,
+             stream::message_head head) {
+        OnRequest(inbound, std::move(head));
+      };
 }
 
 ingress::~ingress() = default;
@@ -59,10 +61,10 @@
 // ---------------------------------------------------------------------------
 // Arrival.
 
-void ingress::OnRequest(const std::shared_ptr<stream::connection>& conn,
+void ingress::OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                         stream::message_head head) {
   auto new_call = std::make_shared<call>();
-  new_call->conn = conn;
+  new_call->inbound = inbound;
   new_call->received = fleet_.loop.Now();
   caller_request request = fleet_.dialect.ReadRequest(head);
   new_call->caller_id = request.id;
@@ -70,18 +72,19 @@
       new_call->received + request.budget.value_or(kDefaultBudget);
   new_call->head = std::move(head);
   new_call->nested = request.key.empty() &&
-                     conn->PeerAddress() == fleet_.settings.callers.address;
-  calls_[conn.get()] = new_call;
-  conn->on_data = [this, new_call](std::string_view bytes) {
+                     inbound->PeerAddress() == fleet_.settings.callers.address;
+  calls_[inbound.get()] = new_call;
+  inbound->on_data = [this, new_call](std::string_view bytes) {
     OnBody(new_call, bytes);
   };
-  conn->on_end = [this, new_call] { OnBodyEnd(new_call); };
-  conn->on_closed = [this, new_call](stream::end_reason) {
+  inbound->on_end = [this, new_call] { OnBodyEnd(new_call); };
+  inbound->on_closed = [this, new_call](stream::end_reason) {
     OnCallerDisconnected(new_call);
   };
   const bool authorised = Authorise(new_call, request.key);
   OPENSSL_cleanse(request.key.data(), request.key.size());
   if (!authorised) return;
+  inbound->AcceptBody();
   new_call->deadline_timer = fleet_.timers.After(
       new_call->deadline - new_call->received,
       sigc::slot<void()>([this, new_call] { OnDeadline(new_call); }));
@@ -131,7 +134,7 @@
     }
     call->attempt->SendData(bytes);
     if (call->attempt->UnsentBytes() > kMaxUnsentBytes) {
-      call->conn->SetReading(false);
+      call->inbound->SetReading(false);
     }
     return;
   }
@@ -141,7 +144,7 @@
   Admit(call);
   // Stop reading until an attempt has taken the buffered part of the body.
   if (!call->finished && call->attempt == nullptr) {
-    call->conn->SetReading(false);
+    call->inbound->SetReading(false);
   }
 }
 
@@ -156,6 +159,15 @@
 }
 
 void ingress::Admit(const call_ptr& call) {
+  // An earlier answer on the connection may close it. The caller then repeats
+  // the requests behind that answer, so only idempotent ones may run by then.
+  if (!call->route->idempotent && !call->inbound->IsFirst()) {
+    call->inbound->on_first = [this, call] {
+      call->inbound->AcceptBody();
+      Admit(call);
+    };
+    return;
+  }
   const instant now = fleet_.loop.Now();
   if (call->tenant != nullptr) {
     const auto admitted = fleet_.allotments.Admit(*call->tenant, now);
@@ -163,6 +175,7 @@
       Refuse(call, 429, core::reason::kRateExceeded, admitted.error());
       return;
     }
+    call->holds_token = true;
   }
   call->service = fleet_.splitter.Pick(*call->route);
   fleet_.retries.OnCall(call->service, now);
@@ -207,7 +220,7 @@
 void ingress::StartNextAttempt(const call_ptr& call) {
   // After a stall, the daemon may read a call and the end of its connection in
   // the same turn of the loop.
-  if (call->conn->HasPeerClosed()) {
+  if (call->inbound->HasPeerClosed()) {
     OnCallerDisconnected(call);
     return;
   }
@@ -292,7 +305,7 @@
   handlers.on_failed = [this, call](stream::failure failure) {
     OnAttemptFailed(call, failure);
   };
-  handlers.on_drained = [call] { call->conn->SetReading(true); };
+  handlers.on_drained = [call] { call->inbound->SetReading(true); };
   call->attempt =
       pool_.Start(fleet_.PeerEndpoint(address), head, std::move(handlers));
   if (call->attempt == nullptr) {
@@ -307,7 +320,7 @@
   if (call->body_complete) call->attempt->SendEnd();
   if (call->streams_body) {
     call->body.clear();
-    call->conn->SetReading(true);
+    call->inbound->SetReading(true);
   }
 }
 
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -39,7 +39,7 @@
   struct call;
   using call_ptr = std::shared_ptr<call>;
 
-  void OnRequest(const std::shared_ptr<stream::connection>& conn,
+  void OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                  stream::message_head head);
   // Fills in route and tenant; false if the call was refused.
   bool Authorise(const call_ptr& call, const std::string& key);
@@ -81,7 +81,7 @@
   stream::server server_;
   stream::client_pool pool_;
   net::http_client attempt_queries_;
-  std::unordered_map<stream::connection*, call_ptr> calls_;
+  std::unordered_map<stream::server_exchange*, call_ptr> calls_;
   std::uint64_t last_attempt_ = 0;
   bool stopping_ = false;
 };
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -74,8 +74,8 @@
     call->answer_body.append(bytes);
     return;
   }
-  call->conn->SendData(bytes);
-  if (call->conn->UnsentBytes() > kMaxUnsentBytes && call->attempt) {
+  call->inbound->SendData(bytes);
+  if (call->inbound->UnsentBytes() > kMaxUnsentBytes && call->attempt) {
     call->attempt->SetReading(false);
   }
 }
@@ -83,7 +83,7 @@
 void ingress::OnAnswerEnd(const call_ptr& call) {
   call->attempt = nullptr;
   if (call->streams_answer) {
-    call->conn->SendEnd();
+    call->inbound->SendEnd();
     Finish(call, call->answer.status, "upstream", core::reason::kNone);
     return;
   }
@@ -206,7 +206,7 @@
   if (call->streams_answer) {
     // The caller has part of the answer and must detect that it is truncated.
     Finish(call, 0, "upstream", core::reason::kPeerLost);
-    server_.Abort(call->conn);
+    server_.Abort(call->inbound);
     return;
   }
   if (failure == stream::failure::kNotSent) {
@@ -272,15 +272,15 @@
     head.framing = stream::body_framing::kLength;
     head.length = call->answer_body.size();
   }
-  call->conn->SendHead(head);
+  call->inbound->SendHead(head);
   if (is_complete) {
-    call->conn->SendData(call->answer_body);
-    call->conn->SendEnd();
+    call->inbound->SendData(call->answer_body);
+    call->inbound->SendEnd();
     Finish(call, head.status, "upstream", core::reason::kNone);
     return;
   }
   call->streams_answer = true;
-  call->conn->on_drained = [call] {
+  call->inbound->on_drained = [call] {
     if (call->attempt) call->attempt->SetReading(true);
   };
 }
@@ -292,7 +292,7 @@
     Refuse(call, 502, reason, {});
     return;
   }
-  if (call->tenant != nullptr && call->sent == 0) {
+  if (call->holds_token && call->sent == 0) {
     fleet_.allotments.ReturnToken(*call->tenant, fleet_.loop.Now());
   }
   const duration wait =
@@ -315,9 +315,9 @@
   const std::string text = body.dump();
   head.framing = stream::body_framing::kLength;
   head.length = text.size();
-  call->conn->SendHead(head);
-  if (call->head.method != "HEAD") call->conn->SendData(text);
-  call->conn->SendEnd();
+  call->inbound->SendHead(head);
+  if (call->head.method != "HEAD") call->inbound->SendData(text);
+  call->inbound->SendEnd();
   Finish(call, status, "daemon", reason);
 }
 
@@ -353,13 +353,13 @@
        {"budget_ms", MsText(call->deadline - call->received)},
        {"config", call->config ? std::to_string(call->config->Version()) : "0"},
        {"config_age_ms", MsText(now - fleet_.config_at)}});
-  calls_.erase(call->conn.get());
-  if (status != 0) server_.FinishRequest(call->conn);
+  calls_.erase(call->inbound.get());
+  if (status != 0) server_.FinishRequest(call->inbound);
 }
 
 void ingress::OnCallerDisconnected(const call_ptr& call) {
   Finish(call, 0, "caller", core::reason::kCancelled);
-  server_.Abort(call->conn);
+  server_.Abort(call->inbound);
 }
 
 void ingress::OnDeadline(const call_ptr& call) {
@@ -367,7 +367,7 @@
   const bool may_run = call->attempt != nullptr || call->querying_attempt;
   if (call->streams_answer) {
     Finish(call, 0, "daemon", core::reason::kDeadline);
-    server_.Abort(call->conn);
+    server_.Abort(call->inbound);
     return;
   }
   if (RelayFailedAnswer(call)) return;
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -16,7 +16,7 @@
 inline constexpr duration kCallerRetryAfter = std::chrono::milliseconds(250);
 
 struct ingress::call {
-  std::shared_ptr<stream::connection> conn;
+  std::shared_ptr<stream::server_exchange> inbound;
   stream::message_head head;
   std::string caller_id;
   instant received{};
@@ -27,6 +27,7 @@
   const mesh::tenant* tenant = nullptr;  // Lives in `config`.
   std::string service;
   bool nested = false;
+  bool holds_token = false;  // Of the tenant's allotment.
   std::string body;
   bool body_complete = false;
   bool streams_body = false;  // Too large to be buffered; can't be sent again.
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -25,6 +25,8 @@
 // that, TCP flow control slows the peer down.
 constexpr std::size_t kMaxReadAheadBytes = 64 * 1024;
 constexpr std::size_t kMaxChunkHeadBytes = 20;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusHeadTooLong = 431;
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
@@ -199,13 +201,10 @@
     const bool no_body = !is_request && answers_head_request_;
     head_.keep_alive_s =
         KeepAliveSeconds(net::FindHeader(head_.headers, "Keep-Alive"));
-    if (is_request &&
+    head_.expects_continue =
+        is_request && head_.framing != body_framing::kNone &&
         EqualsIgnoringCase(net::FindHeader(head_.headers, "Expect"),
-                           "100-continue") &&
-        head_.framing != body_framing::kNone) {
-      evbuffer_add_printf(bufferevent_get_output(owner_->stream_),
-                          "HTTP/1.1 100 Continue\r\n\r\n");
-    }
+                           "100-continue");
     DropConnectionHeaders(&head_.headers);
     if (const auto handler = owner_->on_head) handler(std::move(head_));
     if (!owner_->IsOpen()) return -1;
@@ -335,15 +334,34 @@
   on_end = nullptr;
   on_closed = nullptr;
   on_drained = nullptr;
+  on_bad_message = nullptr;
 }
 
 void connection::CloseWhenSent() {
   if (stream_ == nullptr) return;
-  if (UnsentBytes() == 0) {
+  if (UnsentBytes() > 0) {
+    close_when_sent_ = true;
+    return;
+  }
+  if (IsQuiet() || HasPeerClosed()) {
     CloseAndReport(end_reason::kClosed);
     return;
   }
-  close_when_sent_ = true;
+  shutdown(Socket(), SHUT_WR);
+  drops_received_ = true;
+  SetReading(true);
+  DropReceivedBytes();
+}
+
+void connection::DropReceivedBytes() {
+  evbuffer* input = bufferevent_get_input(stream_);
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+void connection::SendContinue() {
+  if (stream_ == nullptr) return;
+  constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  bufferevent_write(stream_, kContinue.data(), kContinue.size());
 }
 
 void connection::SetReading(bool on) {
@@ -406,6 +424,10 @@
 }
 
 void connection::Parse() {
+  if (drops_received_) {
+    DropReceivedBytes();
+    return;
+  }
   while (stream_ != nullptr && reading_ && !parser_->IsPaused()) {
     evbuffer* input = bufferevent_get_input(stream_);
     evbuffer_iovec chunk{};
@@ -415,7 +437,14 @@
         static_cast<const char*>(chunk.iov_base), chunk.iov_len);
     if (stream_ == nullptr) return;
     if (parser_->HasFailed()) {
-      CloseAndReport(end_reason::kBadBytes);
+      const auto handler = on_bad_message;
+      if (!handler) {
+        CloseAndReport(end_reason::kBadBytes);
+        return;
+      }
+      drops_received_ = true;
+      DropReceivedBytes();
+      handler(parser_->HeadTooLong() ? kStatusHeadTooLong : kStatusBadRequest);
       return;
     }
     evbuffer_drain(input, parsed);
@@ -431,7 +460,8 @@
   const auto conn = static_cast<connection*>(self)->shared_from_this();
   if (conn->UnsentBytes() > 0) return;
   if (conn->close_when_sent_) {
-    conn->CloseAndReport(end_reason::kClosed);
+    conn->close_when_sent_ = false;
+    conn->CloseWhenSent();
     return;
   }
   if (const auto handler = conn->on_drained) handler();
@@ -445,7 +475,7 @@
     conn->reading_ = true;
     conn->Parse();
     if (!conn->IsOpen()) return;
-    const bool whole = conn->parser_->ParseEof();
+    const bool whole = conn->drops_received_ || conn->parser_->ParseEof();
     if (!conn->IsOpen()) return;
     conn->CloseAndReport(whole ? end_reason::kClosed : end_reason::kReset);
     return;
--- a/testing/soak/upstream.cc
+++ b/testing/soak/upstream.cc
@@ -68,32 +68,33 @@
       std::uniform_int_distribution<int>(kLeastWorkMs, kMostWorkMs)(random_));
   if (fault == upstream_fault::kSlow) work *= kSlowTimes;
   const std::string body = AnswerOf(id, record.tenant);
-  timers_.After(
-      work, sigc::slot<void()>([this, conn, id, body, fault] {
-        if (!conn->IsOpen()) return;
-        const net::header_list headers = {{"X-Attempt-Id", id},
-                                          {"X-Response-Seal", "seal-" + id}};
-        if (fault == upstream_fault::kLoses) {
-          front_.Abort(conn);
-        } else if (fault == upstream_fault::kCuts) {
-          stream::message_head cut;
-          cut.status = 200;
-          cut.headers = headers;
-          cut.framing = stream::body_framing::kLength;
-          cut.length = body.size();
-          conn->SendHead(cut);
-          conn->SendData(body.substr(0, body.size() / 2));
-          conn->CloseWhenSent();
-        } else if (fault == upstream_fault::kFails) {
-          Answer(conn, 500, "failed", headers);
-        } else {
-          Answer(conn, 200, body, headers);
-          // Bytes after the end of an answer belong to no request.
-          if (fault == upstream_fault::kBabbles && conn->IsOpen()) {
-            conn->SendData("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad");
-          }
-        }
-      }));
+  timers_.After(work, sigc::slot<void()>([this, conn, id, body, fault] {
+                  if (!conn->Connection()->IsOpen()) return;
+                  const net::header_list headers = {
+                      {"X-Attempt-Id", id}, {"X-Response-Seal", "seal-" + id}};
+                  if (fault == upstream_fault::kLoses) {
+                    front_.Abort(conn);
+                  } else if (fault == upstream_fault::kCuts) {
+                    stream::message_head cut;
+                    cut.status = 200;
+                    cut.headers = headers;
+                    cut.framing = stream::body_framing::kLength;
+                    cut.length = body.size();
+                    conn->SendHead(cut);
+                    conn->SendData(body.substr(0, body.size() / 2));
+                    conn->Connection()->CloseWhenSent();
+                  } else if (fault == upstream_fault::kFails) {
+                    Answer(conn, 500, "failed", headers);
+                  } else {
+                    Answer(conn, 200, body, headers);
+                    // Bytes after the end of an answer belong to no request.
+                    if (fault == upstream_fault::kBabbles &&
+                        conn->Connection()->IsOpen()) {
+                      conn->Connection()->SendData(
+                          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad");
+                    }
+                  }
+                }));
 }
 
 void soak_upstream::Answer(const connection_ptr& conn, int status,
--- a/testing/soak/upstream.h
+++ b/testing/soak/upstream.h
@@ -50,7 +50,7 @@
   void SetFault(upstream_fault fault) { fault_ = fault; }
 
  private:
-  using connection_ptr = std::shared_ptr<stream::connection>;
+  using connection_ptr = std::shared_ptr<stream::server_exchange>;
   void Take(const connection_ptr& conn, const stream::message_head& head);
   void Run(const connection_ptr& conn, const stream::message_head& head);
   void Answer(const connection_ptr& conn, int status, const std::string& body,
--- a/testing/unit/net_harness.h
+++ b/testing/unit/net_harness.h
@@ -47,12 +47,13 @@
 class raw_stream {
  public:
   // Connects to `port` of the loopback address.
-  raw_stream(net_harness& net, int port)
+  raw_stream(net_harness& net, int port) : raw_stream(net, "127.0.0.1", port) {}
+  raw_stream(net_harness& net, const std::string& ip, int port)
       : raw_stream(bufferevent_socket_new(net.loop.Base(), -1,
                                           BEV_OPT_CLOSE_ON_FREE)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    evutil_inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     bufferevent_socket_connect(
         stream_.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -23,15 +23,14 @@
 struct upstream_standin {
   upstream_standin(net::net_harness& net, const std::string& address, int port)
       : front(net.loop, net.timers, {{address, port}, {}, {}}) {
-    front.on_request = [this](const std::shared_ptr<stream::connection>& conn,
-                              stream::message_head head) {
-      OnRequest(conn, std::move(head));
-    };
+    front.on_request =
+        [this](const std::shared_ptr<stream::server_exchange>& conn,
+               stream::message_head head) { OnRequest(conn, std::move(head)); };
     const auto listening = front.Listen();
     REQUIRE(listening);
   }
 
-  void OnRequest(const std::shared_ptr<stream::connection>& conn,
+  void OnRequest(const std::shared_ptr<stream::server_exchange>& conn,
                  stream::message_head head) {
     const std::string id(net::FindHeader(head.headers, "X-Attempt-Id"));
     const bool is_probe = head.target == "/health";
@@ -57,7 +56,7 @@
     conn->on_closed = [this](stream::end_reason) { ++closed; };
   }
 
-  void Answer(const std::shared_ptr<stream::connection>& conn,
+  void Answer(const std::shared_ptr<stream::server_exchange>& conn,
               const std::string& id, int status, const std::string& text,
               net::header_list headers = {}) {
     stream::message_head head;
@@ -79,7 +78,7 @@
   }
 
   stream::server front;
-  std::function<void(const std::shared_ptr<stream::connection>&,
+  std::function<void(const std::shared_ptr<stream::server_exchange>&,
                      const std::string& id)>
       script;
   bool sheds = false;
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -80,11 +80,58 @@
   CHECK(fleet.Call(0, "GET", "/read/1")->status == 401);
 }
 
+// Sent ahead on one connection: reads run together, a write waits for the
+// answers before it.
+TEST_CASE("requests sent ahead are answered in order, and writes run in turn") {
+  node_fleet fleet(2);
+  fleet.Start();
+  std::vector<std::pair<std::string, std::function<void()>>> waiting;
+  for (auto& owned : fleet.upstreams) {
+    upstream_standin* const upstream = owned.get();
+    owned->script = [upstream, &waiting](
+                        const std::shared_ptr<stream::server_exchange>& call,
+                        const std::string& id) {
+      waiting.emplace_back(id, [upstream, call, id] {
+        upstream->Answer(call, id, 200, "answer to " + id);
+      });
+    };
+  }
+  const auto answer = [&waiting](const std::string& id) {
+    for (const auto& [waiting_id, send] : waiting) {
+      if (waiting_id == id) send();
+    }
+  };
+  const auto request = [](const std::string& start, const std::string& id) {
+    return start + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token key-1\r\n\r\n";
+  };
+  net::raw_stream caller(fleet.net, node_fleet::Address(0),
+                         fleet.ports[node_fleet::kCallers]);
+  caller.Write(request("GET /read/1", "one") + request("POST /write/2", "two") +
+               request("GET /none/3", "three") +
+               request("GET /read/4", "four"));
+  REQUIRE(fleet.net.RunUntil([&] { return waiting.size() == 2; }));
+  fleet.RunFor(milliseconds(50));
+  CHECK(waiting.size() == 2);  // The write doesn't run yet.
+  answer("four");
+  fleet.RunFor(milliseconds(50));
+  CHECK(caller.received.empty());
+  answer("one");
+  REQUIRE(fleet.net.RunUntil([&] { return waiting.size() == 3; }));
+  answer("two");
+  REQUIRE(fleet.net.RunUntil([&] { return caller.Has("answer to four"); }));
+  const std::string& all = caller.received;
+  CHECK(all.find("answer to one") < all.find("answer to two"));
+  CHECK(all.find("answer to two") < all.find("404"));
+  CHECK(all.find("404") < all.find("answer to four"));
+  CHECK(fleet.Runs() == 3);
+}
+
 TEST_CASE("a call whose answer was lost is retried only if it is idempotent") {
   node_fleet fleet(2);
   fleet.Start();
   for (auto& upstream : fleet.upstreams) {
-    upstream->script = [](const std::shared_ptr<stream::connection>& conn,
+    upstream->script = [](const std::shared_ptr<stream::server_exchange>& conn,
                           const std::string&) { conn->Close(); };
   }
   const auto write = fleet.Call(0, "POST", "/write/1", "x");
@@ -102,7 +149,7 @@
   fleet.Start();
   for (const std::size_t bytes : {std::size_t{10}, std::size_t{300000}}) {
     fleet.upstreams[0]->script =
-        [bytes](const std::shared_ptr<stream::connection>& conn,
+        [bytes](const std::shared_ptr<stream::server_exchange>& conn,
                 const std::string& id) {
           stream::message_head head;
           head.status = 200;
@@ -129,7 +176,7 @@
   for (auto& owned : fleet.upstreams) {
     upstream_standin* const upstream = owned.get();
     owned->script = [upstream, &answer](
-                        const std::shared_ptr<stream::connection>& c,
+                        const std::shared_ptr<stream::server_exchange>& c,
                         const std::string& id) {
       upstream->Answer(c, id, 200, answer);
     };
@@ -166,8 +213,9 @@
   node_fleet fleet(2);
   fleet.Start();
   upstream_standin* const failing = fleet.upstreams[0].get();
-  failing->script = [failing](const std::shared_ptr<stream::connection>& conn,
-                              const std::string& id) {
+  failing->script = [failing](
+                        const std::shared_ptr<stream::server_exchange>& conn,
+                        const std::string& id) {
     failing->Answer(conn, id, 500, "broken", {{"X-Response-Seal", "s500"}});
   };
   fleet.upstreams[1]->sheds = true;
@@ -186,8 +234,9 @@
 TEST_CASE("a call is cancelled at the upstream when its caller disconnects") {
   node_fleet fleet(1);
   fleet.Start();
-  fleet.upstreams[0]->script = [](const std::shared_ptr<stream::connection>&,
-                                  const std::string&) {};
+  fleet.upstreams[0]->script =
+      [](const std::shared_ptr<stream::server_exchange>&, const std::string&) {
+      };
   const auto call = fleet.StartCall(0, "GET", "/read/1");
   CHECK(fleet.net.RunUntil([&] { return fleet.Runs() == 1; }));
   const int before = fleet.upstreams[0]->closed;
@@ -262,8 +311,9 @@
 TEST_CASE("an unanswered call ends at the earlier of budget and timeout") {
   node_fleet fleet(1);
   fleet.Start();
-  fleet.upstreams[0]->script = [](const std::shared_ptr<stream::connection>&,
-                                  const std::string&) {};
+  fleet.upstreams[0]->script =
+      [](const std::shared_ptr<stream::server_exchange>&, const std::string&) {
+      };
   for (const char* budget : {"300", "9000"}) {
     const core::instant started_at = fleet.net.loop.Now();
     const auto call = fleet.Call(0, "POST", "/write/1", "x", {}, budget);
@@ -360,7 +410,7 @@
   for (auto& owned : fleet.upstreams) {
     upstream_standin* const upstream = owned.get();
     owned->script = [&answers, upstream](
-                        const std::shared_ptr<stream::connection>& c,
+                        const std::shared_ptr<stream::server_exchange>& c,
                         const std::string& id) {
       answers.emplace_back(
           [upstream, c, id] { upstream->Answer(c, id, 200, "late"); });
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <optional>
+
 #include "net_harness.h"
 
 namespace pimentohall::stream {
@@ -20,7 +22,7 @@
   stream_fixture()
       : front(net.loop, net.timers, {{"127.0.0.1", 0}, {}, {}}),
         pool(net.loop, net.timers, kPoolOptions) {
-    front.on_request = [this](const std::shared_ptr<connection>& conn,
+    front.on_request = [this](const std::shared_ptr<server_exchange>& conn,
                               const message_head& head) {
       requests.push_back(head);
       conn->on_data = [this](std::string_view bytes) { body.append(bytes); };
@@ -33,8 +35,8 @@
     target = {"127.0.0.1", *listening};
   }
 
-  void Answer(const std::shared_ptr<connection>& conn, const std::string& text,
-              int status = 200) {
+  void Answer(const std::shared_ptr<server_exchange>& conn,
+              const std::string& text, int status = 200) {
     message_head head;
     head.status = status;
     head.framing = body_framing::kLength;
@@ -73,8 +75,8 @@
   net::endpoint target;
   std::vector<message_head> requests;
   std::string body;
-  std::function<void(const std::shared_ptr<connection>&)> answer =
-      [this](const std::shared_ptr<connection>& conn) {
+  std::function<void(const std::shared_ptr<server_exchange>&)> answer =
+      [this](const std::shared_ptr<server_exchange>& conn) {
         Answer(conn, "hello");
       };
 };
@@ -137,7 +139,7 @@
 
 TEST_CASE("an answer may come before the request's body is in") {
   stream_fixture f;
-  f.front.on_request = [&f](const std::shared_ptr<connection>& conn,
+  f.front.on_request = [&f](const std::shared_ptr<server_exchange>& conn,
                             const message_head&) {
     f.Answer(conn, "early", 413);
   };
@@ -160,7 +162,7 @@
   // The remaining body belongs to the first request, not to the next one.
   started->SendData("67890");
   started->SendEnd();
-  f.front.on_request = [&f](const std::shared_ptr<connection>& conn,
+  f.front.on_request = [&f](const std::shared_ptr<server_exchange>& conn,
                             const message_head& next) {
     CHECK(next.target == "/next");
     conn->on_end = [&f, conn] { f.Answer(conn, "second"); };
@@ -172,9 +174,9 @@
   stream_fixture f;
   constexpr std::size_t kBytes = 8 * 1024 * 1024;
   std::size_t received = 0;
-  std::shared_ptr<connection> sender;
+  std::shared_ptr<server_exchange> sender;
   bool paused = false;
-  f.front.on_request = [&](const std::shared_ptr<connection>& conn,
+  f.front.on_request = [&](const std::shared_ptr<server_exchange>& conn,
                            const message_head&) {
     conn->on_data = [&, conn](std::string_view bytes) {
       received += bytes.size();
@@ -323,7 +325,7 @@
 TEST_CASE("a disconnect of a waiting caller is detected") {
   stream_fixture f;
   bool gone = false;
-  f.front.on_request = [&gone](const std::shared_ptr<connection>& conn,
+  f.front.on_request = [&gone](const std::shared_ptr<server_exchange>& conn,
                                const message_head&) {
     conn->on_closed = [&gone](end_reason) { gone = true; };
   };
@@ -331,7 +333,7 @@
   head.method = "GET";
   head.target = "/";
   bool arrived = false;
-  f.front.on_request = [&](const std::shared_ptr<connection>& conn,
+  f.front.on_request = [&](const std::shared_ptr<server_exchange>& conn,
                            const message_head&) {
     arrived = true;
     conn->on_closed = [&gone](end_reason) { gone = true; };
@@ -357,8 +359,8 @@
 TEST_CASE("a stopped server closes idle connections and completes the others") {
   stream_fixture f;
   CHECK(f.Get("/idle") == "hello");
-  std::shared_ptr<connection> waiting;
-  f.answer = [&waiting](const std::shared_ptr<connection>& conn) {
+  std::shared_ptr<server_exchange> waiting;
+  f.answer = [&waiting](const std::shared_ptr<server_exchange>& conn) {
     waiting = conn;
   };
   std::string received_body;
@@ -382,7 +384,7 @@
 // connections whose answer was queued but not yet sent.
 TEST_CASE("a stop doesn't drop an answer that is not yet sent") {
   stream_fixture f;
-  f.answer = [&f](const std::shared_ptr<connection>& conn) {
+  f.answer = [&f](const std::shared_ptr<server_exchange>& conn) {
     f.Answer(conn, "last words");
     f.front.Stop();
   };
@@ -390,5 +392,195 @@
   CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
 }
 
+// ---------------------------------------------------------------------------
+// Requests sent ahead on one connection.
+
+// A server that passes on up to `depth` requests of a connection, keeps them
+// unanswered, and a caller that writes raw bytes.
+struct pipeline_fixture {
+  explicit pipeline_fixture(std::size_t depth)
+      : front(net.loop, net.timers, {{"127.0.0.1", 0}, {}, {}, depth}) {
+    front.on_request = [this](const std::shared_ptr<server_exchange>& call,
+                              const message_head& head) {
+      targets.push_back(head.target);
+      calls.push_back(call);
+      bodies.emplace_back();
+      call->on_data = [this, i = bodies.size() - 1](std::string_view bytes) {
+        bodies[i].append(bytes);
+      };
+      call->on_closed = [this](end_reason) { ++closed; };
+    };
+    const auto listening = front.Listen();
+    REQUIRE(listening);
+    caller.emplace(net, *listening);
+  }
+
+  void Answer(std::size_t i, const std::string& text, bool close = false) {
+    message_head head;
+    head.status = 200;
+    head.framing = body_framing::kLength;
+    head.length = text.size();
+    head.close = close;
+    calls[i]->SendHead(head);
+    calls[i]->SendData(text);
+    calls[i]->SendEnd();
+    front.FinishRequest(calls[i]);
+  }
+  bool WaitForRequests(std::size_t count) {
+    return net.RunUntil([&] { return targets.size() >= count; });
+  }
+  // Waits until the caller has received `text`.
+  bool WaitForBytes(const std::string& text) {
+    return net.RunUntil(
+        [&] { return caller->received.find(text) != std::string::npos; });
+  }
+  std::size_t Position(const std::string& text) const {
+    return caller->received.find(text);
+  }
+
+  net::net_harness net;
+  server front;
+  std::optional<net::raw_stream> caller;
+  std::vector<std::string> targets;
+  std::vector<std::string> bodies;
+  std::vector<std::shared_ptr<server_exchange>> calls;
+  int closed = 0;
+};
+
+constexpr char kThreeRequests[] =
+    "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+    "PUT /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+    "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+TEST_CASE("requests sent ahead are passed on at once and answered in order") {
+  pipeline_fixture f(8);
+  f.caller->Write(kThreeRequests);
+  REQUIRE(f.WaitForRequests(3));
+  CHECK(f.targets == std::vector<std::string>{"/1", "/2", "/3"});
+  CHECK(f.bodies[1] == "body");
+  CHECK(f.calls[0]->IsFirst());
+  CHECK_FALSE(f.calls[1]->IsFirst());
+  bool was_first = false;
+  f.calls[1]->on_first = [&was_first] { was_first = true; };
+  f.Answer(2, "third");
+  CHECK(f.calls[2]->UnsentBytes() == 5);
+  CHECK(f.caller->received.empty());
+  f.Answer(0, "first");
+  CHECK(was_first);
+  f.Answer(1, "second");
+  REQUIRE(f.WaitForBytes("third"));
+  CHECK(f.Position("first") < f.Position("second"));
+  CHECK(f.Position("second") < f.Position("third"));
+  CHECK(f.closed == 0);
+  // The connection serves further requests.
+  f.caller->Write("GET /4 HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(f.WaitForRequests(4));
+  f.Answer(3, "fourth");
+  CHECK(f.WaitForBytes("fourth"));
+}
+
+TEST_CASE("no more requests are read ahead than the limit allows") {
+  pipeline_fixture f(2);
+  f.caller->Write(kThreeRequests);
+  REQUIRE(f.WaitForRequests(2));
+  f.net.RunReady();
+  CHECK(f.targets.size() == 2);
+  f.Answer(1, "second");
+  f.net.RunReady();
+  CHECK(f.targets.size() == 2);
+  f.Answer(0, "first");
+  CHECK(f.WaitForRequests(3));
+}
+
+TEST_CASE("requests passed on are answered although an earlier answer closes") {
+  pipeline_fixture f(2);
+  f.caller->Write(kThreeRequests);
+  REQUIRE(f.WaitForRequests(2));
+  f.Answer(0, "first", true);
+  f.net.RunReady();
+  // The third request isn't passed on: its caller repeats it.
+  CHECK(f.targets.size() == 2);
+  CHECK(f.Position("Connection: close") == std::string::npos);
+  f.Answer(1, "second");
+  REQUIRE(f.WaitForBytes("second"));
+  CHECK(f.Position("Connection: close") != std::string::npos);
+  CHECK(f.net.RunUntil([&f] { return f.caller->closed; }));
+  CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
+  CHECK(f.targets.size() == 2);
+}
+
+TEST_CASE("a stop answers the requests that were passed on, and no others") {
+  pipeline_fixture f(2);
+  f.caller->Write(kThreeRequests);
+  REQUIRE(f.WaitForRequests(2));
+  f.front.Stop();
+  f.Answer(0, "first");
+  f.Answer(1, "second");
+  REQUIRE(f.WaitForBytes("second"));
+  CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
+  CHECK(f.targets.size() == 2);
+}
+
+TEST_CASE("a malformed request is answered in its place") {
+  struct broken_case {
+    const char* name;
+    std::string bytes;
+    const char* status;
+    std::size_t passed_on;
+  };
+  const broken_case cases[] = {
+      {"no HTTP", "nonsense\r\n\r\n", "400", 1},
+      {"two lengths",
+       "PUT /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+       "Content-Length: 2\r\n\r\n",
+       "400", 1},
+      {"a bad chunk",
+       "PUT /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "zz\r\n",
+       "400", 2},
+      {"an endless head", "GET /2 HTTP/1.1\r\nX: " + std::string(100000, 'x'),
+       "431", 1},
+  };
+  for (const broken_case& test_case : cases) {
+    CAPTURE(test_case.name);
+    pipeline_fixture f(8);
+    f.caller->Write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n" + test_case.bytes);
+    REQUIRE(f.WaitForRequests(test_case.passed_on));
+    f.net.RunReady();
+    CHECK(f.caller->received.empty());
+    f.Answer(0, "first");
+    REQUIRE(f.WaitForBytes(std::string("HTTP/1.1 ") + test_case.status));
+    CHECK(f.Position("first") < f.Position(test_case.status));
+    CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
+    CHECK(f.targets.size() == test_case.passed_on);
+    CHECK(f.closed == static_cast<int>(test_case.passed_on) - 1);
+  }
+}
+
+TEST_CASE("all requests of a connection are told that it broke") {
+  pipeline_fixture f(8);
+  f.caller->Write(kThreeRequests);
+  REQUIRE(f.WaitForRequests(3));
+  f.caller->Close();
+  CHECK(f.net.RunUntil([&f] { return f.closed == 3; }));
+  CHECK(f.front.Connections() == 0);
+}
+
+TEST_CASE("a body is sent only once it is accepted") {
+  pipeline_fixture f(8);
+  f.caller->Write(
+      "PUT /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+      "Expect: 100-continue\r\n\r\n");
+  REQUIRE(f.WaitForRequests(1));
+  f.net.RunReady();
+  CHECK(f.caller->received.empty());
+  f.calls[0]->AcceptBody();
+  CHECK(f.WaitForBytes("100 Continue"));
+  f.caller->Write("body");
+  CHECK(f.net.RunUntil([&f] { return f.bodies[0] == "body"; }));
+  f.Answer(0, "taken");
+  CHECK(f.WaitForBytes("taken"));
+}
+
 }  // namespace
 }  // namespace pimentohall::stream
