Let only the process that got an attempt say that it didn't run

Cause: after a broken link the ingress asks the daemon whether the attempt ran. A daemon that was started again meanwhile knew nothing of its earlier process and said 'not_run'; the ingress sent the call to another upstream, or answered 503. The upstream goes on when its daemon restarts, so the call had run. Change: the question names the boot that the ingress knew when it forwarded the call; any other process answers 'may_have_run', and the caller gets a 502.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -35,7 +35,9 @@
 constexpr char kTextType[] = "text/plain";
 constexpr char kCborType[] = "application/cbor";
 constexpr char kMirrorPath[] = "/pimentohall/mirror?";
-constexpr char kAttemptPath[] = "/pimentohall/attempt?id=";
+// "boot=B&id=A" follows: whether the process with boot B ran attempt A.
+constexpr char kAttemptPath[] = "/pimentohall/attempt?";
+constexpr std::string_view kIdField = "&id=";
 
 }  // namespace
 
@@ -121,10 +123,23 @@
 }
 
 // Answers whether an attempt ran. An attempt that is unknown or still queued is
-// barred, so that it never runs.
+// barred, so that it never runs. An earlier process on this VM may have run an
+// attempt that this one doesn't know.
 void egress::OnAttemptQuery(
     const std::shared_ptr<stream::server_exchange>& inbound,
-    const std::string& attempt) {
+    const std::string& query) {
+  const std::size_t id_at = query.find(kIdField);
+  if (id_at == std::string::npos) {
+    Reply(inbound, 400, kTextType, "no id");
+    return;
+  }
+  const std::string attempt = query.substr(id_at + kIdField.size());
+  if (query.substr(0, id_at) != "boot=" + std::to_string(fleet_.boot)) {
+    net::Log(core::log_level::kInfo, "asked for an earlier process's attempt",
+             {{"attempt", attempt}, {"query", query}});
+    Reply(inbound, 200, kTextType, "may_have_run");
+    return;
+  }
   const auto found = by_attempt_.find(attempt);
   bool not_run = false;
   if (found == by_attempt_.end()) {
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -58,7 +58,7 @@
   void OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                  stream::message_head head);
   void OnAttemptQuery(const std::shared_ptr<stream::server_exchange>& inbound,
-                      const std::string& attempt);
+                      const std::string& query);
   void Reply(const std::shared_ptr<stream::server_exchange>& inbound,
              int status, const std::string& type, const std::string& body);
   void OnBody(const call_ptr& call, std::string_view bytes);
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -278,6 +278,8 @@
   call->attempt_id = attempt_id;
   call->upstream = upstream;
   call->address = address;
+  const auto* const peer = fleet_.peers.Find(address);
+  call->peer_boot = peer != nullptr ? peer->boot : 0;
   call->forwarded = now;
   call->tried_upstreams.push_back(upstream);
   call->has_answer_head = false;
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -241,12 +241,14 @@
 }
 
 // Asks the daemon whether the attempt ran. The answer "not_run" also guarantees
-// that it never will.
+// that it never will. Only the process that got the attempt can give it: the
+// daemon may have been started again since.
 void ingress::ResolveLostAttempt(const call_ptr& call) {
   call->querying_attempt = true;
   net::http_request query;
   query.target = fleet_.PeerEndpoint(call->address);
-  query.path = "/pimentohall/attempt?id=" + call->attempt_id;
+  query.path = "/pimentohall/attempt?boot=" + std::to_string(call->peer_boot) +
+               "&id=" + call->attempt_id;
   query.timeout =
       std::min(kAttemptQueryTimeout, call->deadline - fleet_.loop.Now());
   attempt_queries_.Start(
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -41,6 +41,7 @@
   std::string attempt_id;
   std::string upstream;
   std::string address;
+  std::uint32_t peer_boot = 0;  // Of the daemon at `address`; 0: unknown.
   instant forwarded{};
   outcome_header outcome_info;
   stream::message_head answer;
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -83,6 +83,26 @@
   CHECK(fleet.Call(0, "GET", "/read/1")->status == 401);
 }
 
+// Guards REFUSED and TWICE (further-grown trouble-2, trouble-3): a daemon that
+// was started again didn't know the attempts of its earlier process, and
+// reported that they hadn't run.
+TEST_CASE("a daemon doesn't speak for attempts of its earlier process") {
+  node_fleet fleet(2);
+  fleet.Start();
+  fleet.PutEntry(0, "draining");
+  fleet.RunFor(milliseconds(600));
+  fleet.upstreams[1]->script =
+      [](const std::shared_ptr<stream::server_exchange>&, const std::string&) {
+      };
+  const auto write = fleet.StartCall(0, "POST", "/write/1", "x");
+  REQUIRE(fleet.net.RunUntil([&] { return fleet.Runs() == 1; }));
+  fleet.nodes[1].reset();
+  fleet.StartNode(1);
+  CHECK(fleet.net.RunUntil([&] { return write->ended; }));
+  CHECK(write->status == 502);
+  CHECK(fleet.Runs() == 1);
+}
+
 // Sent ahead on one connection: reads run together, a write waits for the
 // answers before it.
 TEST_CASE("requests sent ahead are answered in order, and writes run in turn") {
