Weigh full links more for large calls, and repeat callers' calls less

Uploads went to the fastest upstream until its link cost them 200 ms, which the small calls behind them paid. Change: the transit time counts 1 + bytes / 10 KB times. Calls of callers are retried up to 0.35 of the budget (0.55 before).

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -467,9 +467,10 @@
 // the slack is divided evenly between the daemons.
 class retry_budget {
  public:
-  // Share of the budget up to which calls of callers are retried. Retries make
-  // calls to other services, which count as retries there and can't be refused.
-  static constexpr double kUsedShare = 0.55;
+  // Share of the budget up to which calls of callers are retried. Each repeat
+  // makes calls to other services, mostly two. These count as retries there and
+  // can't be refused.
+  static constexpr double kUsedShare = 0.35;
   // The same for calls of upstreams. Their retry is cheaper than a repeat of
   // the whole call that made them.
   static constexpr double kNestedUsedShare = 0.8;
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -24,6 +24,9 @@
 // The mean transit time halves in this time without calls, so that an upstream
 // behind a link that was full is tried again.
 constexpr double kTransitHalfLifeS = 1.0;
+// A call of this many kilobytes counts the transit time twice: it delays the
+// calls behind it on the link as much as it is delayed itself.
+constexpr double kTransitKb = 10;
 // Two candidates are drawn at random from those whose score is within this
 // share of the call's usual duration of the best score, and the better of the
 // two is used. Loads are only as recent as the last news: if all daemons used
@@ -106,7 +109,7 @@
   return wait_ms +
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
          kFailureCost * typical_ms * FailureShare(known, now) +
-         TransitMs(known, now) +
+         TransitMs(known, now) * (1 + call.bytes / (kTransitKb * kBytesPerKb)) +
          (target.is_near ? 0
                          : kFarMs + kFarShare * typical_ms +
                                kFarMsPerKb * call.bytes / kBytesPerKb);
