Reset cancelled links, so that given-up requests don't arrive later

The link was closed in order on the cancel, and the kernel sent a lost packet again a second later, followed by the end of the connection; the egress started the call before the end arrived. Change: a link or upstream connection with an unfinished exchange is closed with a reset. Test: a cancelled request is reset (kClosed before, kReset now).

--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -103,6 +103,9 @@
   void SendEnd();
   // Closes at once. Bytes not sent yet are dropped.
   void Close();
+  // Closes at once with a reset, so that sent bytes that the peer doesn't have
+  // yet aren't delivered later.
+  void Abort();
   // Closes once everything is sent, and then calls `on_closed`, possibly from
   // inside this call. If received bytes are still unparsed, it sends the end of
   // its own bytes first and waits for the peer's close: closing at once would
@@ -344,7 +347,8 @@
  public:
   void SendData(std::string_view bytes);
   void SendEnd();
-  // Closes the connection. No handler is called afterwards.
+  // Resets the connection: bytes that are still on the way are dropped. No
+  // handler is called afterwards.
   void Cancel();
   void SetReading(bool on);
   std::size_t UnsentBytes() const;
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -212,7 +212,12 @@
                     call->request_ended_ && conn->IsOpen();
   if (!keep) {
     conn->on_closed = nullptr;
-    conn->Close();
+    // A request that was given up must not arrive after a loss on the way.
+    if (call->answer_ended_) {
+      conn->Close();
+    } else {
+      conn->Abort();
+    }
     --state.open;
     return;
   }
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -341,6 +341,14 @@
   on_bad_message = nullptr;
 }
 
+void connection::Abort() {
+  if (stream_ == nullptr) return;
+  const linger reset_on_close = {1, 0};
+  setsockopt(Socket(), SOL_SOCKET, SO_LINGER, &reset_on_close,
+             sizeof(reset_on_close));
+  Close();
+}
+
 void connection::CloseWhenSent() {
   if (stream_ == nullptr) return;
   if (UnsentBytes() > 0) {
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -344,6 +344,27 @@
   CHECK(f.net.RunUntil([&gone] { return gone; }));
 }
 
+// Guards GONE: dimasalang hunt-c073-39. A lost packet of a request was sent
+// again after its caller had left, as the connection had been closed in order.
+TEST_CASE("a cancelled request is reset, so that it isn't delivered later") {
+  stream_fixture f;
+  std::optional<end_reason> reason;
+  bool arrived = false;
+  f.front.on_request = [&](const std::shared_ptr<server_exchange>& call,
+                           const message_head&) {
+    arrived = true;
+    call->on_closed = [&reason](end_reason why) { reason = why; };
+  };
+  message_head head;
+  head.method = "GET";
+  head.target = "/";
+  const auto started = f.pool.Start(f.target, head, {});
+  CHECK(f.net.RunUntil([&arrived] { return arrived; }));
+  started->Cancel();
+  CHECK(f.net.RunUntil([&reason] { return reason.has_value(); }));
+  CHECK(*reason == end_reason::kReset);
+}
+
 TEST_CASE("connections with an incomplete head or without requests time out") {
   stream_fixture f;
   f.front.SetTimeouts(std::chrono::seconds(60), milliseconds(500));
