--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -230,6 +230,21 @@
   CHECK(settings->retries.slack == doctest::Approx(56));
 }
 
+TEST_CASE("the number of pipelined requests is checked") {
+  const auto parse = [](const std::string& value) {
+    std::string text = kSettings;
+    text.insert(text.find('{') + 1, "\"max_pipelined\": " + value + ",");
+    return ParseSettings(text, "test");
+  };
+  CHECK(ParseSettings(kSettings, "test")->max_pipelined == 8);
+  CHECK(parse("1")->max_pipelined == 1);
+  CHECK(parse("64")->max_pipelined == 64);
+  for (const char* faulty : {"0", "-1", "65", "1.5", "\"8\""}) {
+    CAPTURE(faulty);
+    CHECK_FALSE(parse(faulty));
+  }
+}
+
 TEST_CASE("faulty settings list every fault") {
   std::string text = kSettings;
   const auto replace = [&text](const std::string& from, const std::string& to) {
