--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -550,8 +550,8 @@
   const auto count_first = [&](target_picker* picker) {
     int first = 0;
     for (int i = 0; i < 100; ++i) {
-      if (picker->Pick(targets, {}, {typical}, kStart) == std::size_t{0})
-        ++first;
+      const auto picked = picker->Pick(targets, {}, {typical}, kStart);
+      if (picked == std::size_t{0}) ++first;
     }
     return first;
   };
