--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -19,7 +19,7 @@
   explicit call(fleet_state& fleet) : body(&fleet.buffered_request_bytes) {}
 
   std::uint64_t id = 0;
-  std::shared_ptr<stream::server_exchange> inbound;
+  std::shared_ptr<stream::server_exchange> inbound;  // From the ingress.
   stream::message_head head;
   call_header info;
   std::string caller_id;  // The caller's own id of its request.
