Share the sum of buffered bytes with the calls

Cause: ASan, node_test: a call outlived the daemon's state, and its held body subtracted its bytes from a freed counter. Change: the counter is shared.

--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -16,7 +16,7 @@
 inline constexpr duration kIngressRetryAfter = std::chrono::milliseconds(300);
 
 struct egress::call {
-  explicit call(fleet_state& fleet) : body(&fleet.buffered_request_bytes) {}
+  explicit call(fleet_state& fleet) : body(fleet.buffered_request_bytes) {}
 
   std::uint64_t id = 0;
   std::shared_ptr<stream::server_exchange> inbound;  // From the ingress.
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -53,7 +53,9 @@
   mesh::time_estimator typical;
   // Bytes that the calls of a route carry.
   mesh::size_estimator carried;
-  std::size_t buffered_request_bytes = 0;
+  // Of all calls of this daemon.
+  std::shared_ptr<std::size_t> buffered_request_bytes =
+      std::make_shared<std::size_t>(0);
 
   // The typical duration of a call on this route. Until a call was measured, it
   // is estimated from the route's aim.
--- a/src/node/held_body.h
+++ b/src/node/held_body.h
@@ -4,8 +4,10 @@
 // Limits on how much of a body ingress and egress buffer.
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace pimentohall::node {
 
@@ -26,10 +28,11 @@
 inline constexpr std::size_t kMinAskedBodyBytes = 16 * 1024;
 
 // The buffered part of a request's body. Counts its bytes in a sum over the
-// daemon, which must outlive it.
+// daemon. They share the sum: a call may outlive the daemon's other state.
 class held_body {
  public:
-  explicit held_body(std::size_t* total) : total_(total) {}
+  explicit held_body(std::shared_ptr<std::size_t> total)
+      : total_(std::move(total)) {}
   ~held_body() { Clear(); }
   held_body(const held_body&) = delete;
   held_body& operator=(const held_body&) = delete;
@@ -51,7 +54,7 @@
   }
 
  private:
-  std::size_t* total_;
+  std::shared_ptr<std::size_t> total_;
   std::string bytes_;
 };
 
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -16,7 +16,7 @@
 inline constexpr duration kCallerRetryAfter = std::chrono::milliseconds(250);
 
 struct ingress::call {
-  explicit call(fleet_state& fleet) : body(&fleet.buffered_request_bytes) {}
+  explicit call(fleet_state& fleet) : body(fleet.buffered_request_bytes) {}
 
   std::shared_ptr<stream::server_exchange> inbound;  // From the caller.
   stream::message_head head;
