Check resident memory only without AddressSanitizer

Cause: ASan keeps freed blocks in quarantine, so resident memory grows by what passed through (415 MB); the plain build keeps the 4 MB bound and passes. Change: the memory check counts nothing under ASan; all others stay.

--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -506,7 +506,11 @@
   conn->SendData(block);
 }
 
+// 0 under AddressSanitizer, which keeps freed memory for a while.
 std::size_t ResidentBytes() {
+#ifdef __SANITIZE_ADDRESS__
+  return 0;
+#endif
   std::size_t total_pages = 0;
   std::size_t resident_pages = 0;
   std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
