--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,91 +1,77 @@
-// An upstream rejects a few large uploads before their bodies are in, and reads
-// on.
+// A daemon gets SIGTERM while requests that it took wait in the queues before
+// busy upstreams.
+
+#include <csignal>
 
 #include "../harness/deployment.h"
 
 namespace pimentohall::review {
 namespace {
 
-constexpr std::size_t kUploadBytes = 600 * 1000;
-// A caller with 5 Mbit/s.
-constexpr int kPieces = 60;
-constexpr milliseconds kPieceGap(16);
-constexpr int kSlots = 18;
-constexpr int kVault = 2;
-// The upstream rejects this share of the uploads, for this long. The largest
-// dose of `garble` with `early` is 0.4 for 6 s.
-constexpr int kRejectedOfTen = 4;
-constexpr milliseconds kDisturbance(6000);
-constexpr milliseconds kGap(12);
-constexpr milliseconds kSettle(8000);
-// Probes after the disturbance.
-constexpr int kProbes = 60;
-constexpr milliseconds kProbeGap(500);
+// Bounds of the site.
+constexpr milliseconds kGrace(6000);
+constexpr milliseconds kLossSlack(200);
+// The target may still be at work in the last sixth of the grace time.
+constexpr milliseconds kLastSixth = kGrace - kGrace / 6;
+constexpr milliseconds kWork(1200);
+constexpr int kBudgetMs = 8000;
+constexpr int kVms = 3;
+constexpr int kSlots = 9;
+constexpr milliseconds kGap(34);
+constexpr int kRequests = 900;
 
 int Run(const fleet_options& options, bool trouble) {
   fleet small(options);
-  bool rejecting = false;
-  int seen = 0;
-  int rejected = 0;
-  small.rejects_early = [&](int vm, const std::string&) {
-    if (!rejecting || vm != kVault) return false;
-    const bool rejects = ++seen % 10 < kRejectedOfTen;
-    rejected += rejects ? 1 : 0;
-    return rejects;
-  };
-  const std::vector<nlohmann::json> services = {Service("vault"),
-                                                Service("orders")};
-  std::vector<nlohmann::json> routes = {
-      Route("proof-view", "/proofs/", "orders", "idempotent", 1500, 600)};
-  if (!small.Start(Configuration(1, routes, services))) return kCouldNotRun;
-  small.RunFor(seconds(3));
-  // Two routes are added.
-  routes.push_back(
-      Route("crest-upload", "/crests/", "vault", "upload", 2000, 800));
-  routes.push_back(
-      Route("style-lookup", "/styles/", "vault", "idempotent", 2000, 800));
-  small.Store().Put("op/config", Configuration(2, routes, services).dump());
-  small.RunFor(seconds(3));
-  const request upload = {"POST", kHost,        "/crests/1", "key-of-shore",
-                          2000,   kUploadBytes, kPieces,     kPieceGap};
-  const request lookup = {"GET", kHost, "/styles/1", "key-of-shore", 2000, 0};
-  const request view = {"GET", kHost, "/proofs/1", "key-of-shore", 1500, 0};
-  const auto send_uploads = [&](milliseconds time) {
-    const instant end = small.Now() + time;
-    for (int i = 0; small.Now() < end; ++i) {
-      small.Send(i % 2, upload);
-      small.RunFor(kGap);
-    }
-  };
-  send_uploads(seconds(2));
-  rejecting = trouble;
-  send_uploads(kDisturbance);
-  rejecting = false;
-  small.RunFor(kSettle);
+  small.work = [](const std::string&) { return kWork; };
+  const auto route = Route("statement-run", "/statements/", "statements",
+                           "idempotent", kBudgetMs, 1200);
+  if (!small.Start(Configuration(1, {route}, {Service("statements")}))) {
+    return kCouldNotRun;
+  }
+  small.RunFor(seconds(6));
+  const request statement = {"GET",          kHost,     "/statements/1",
+                             "key-of-shore", kBudgetMs, 0};
   const std::size_t first = small.Calls().size();
-  for (int i = 0; i < kProbes; ++i) {
-    for (const request& each : {upload, lookup, view}) small.Send(i % 2, each);
-    small.RunFor(kProbeGap);
+  // A third more than the upstreams can run, until their queues are full.
+  for (int i = 0; i < kRequests; ++i) {
+    small.Send(i % kVms, statement);
+    small.RunFor(kGap);
   }
-  small.RunFor(seconds(3));
-  std::map<std::string, int> served;
+  const instant stopped = small.Now();
+  if (trouble) small.Signal(0, SIGTERM);
+  small.RunFor(milliseconds(kBudgetMs) + seconds(1));
+
+  int answered = 0;
+  int refused = 0;
+  int excused = 0;
+  int lost = 0;
   for (std::size_t i = first; i < small.Calls().size(); ++i) {
     const call& each = *small.Calls()[i];
-    if (each.status == 200) ++served[each.what.path];
+    if (each.vm != 0) continue;
+    if (each.status == 200) ++answered;
+    if (each.status != 0) {
+      refused += each.status == 200 ? 0 : 1;
+      continue;
+    }
+    const run* const ran = small.FindRun(each.id);
+    const bool was_at_work =
+        ran != nullptr && each.ended >= stopped + kLastSixth;
+    const bool is_over = each.ended - each.sent >= milliseconds(kBudgetMs) ||
+                         each.ended - each.sent <= kLossSlack;
+    if (was_at_work || is_over) {
+      ++excused;
+    } else {
+      ++lost;
+    }
   }
-  const std::string of = " of " + std::to_string(kProbes);
   small.Record().Write(
-      std::to_string(rejected) +
-      " uploads were rejected early. From 8 s after the disturbance on, " +
-      std::to_string(served[upload.path]) + of + " uploads, " +
-      std::to_string(served[lookup.path]) + of + " lookups at the same " +
-      "upstream and " + std::to_string(served[view.path]) + of +
-      " views at others were served");
-  if (served[view.path] < kProbes) return kCouldNotRun;
-  // Routes that were added later are served less than a quarter as often as the
-  // first one: two kinds of request against one.
-  const int later = served[upload.path] + served[lookup.path];
-  return 4 * later < 2 * served[view.path] ? kBroken : kHeld;
+      "of the requests that the stopped daemon took, " +
+      std::to_string(answered) + " were answered, " + std::to_string(refused) +
+      " refused, " + std::to_string(excused) +
+      " cut while their upstream was at work, and " + std::to_string(lost) +
+      " cut without an answer while they waited");
+  if (answered == 0) return kCouldNotRun;
+  return lost > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
@@ -94,7 +80,7 @@
   return RunCase(argc, argv,
                  {"",
                   "",
-                  {"orders", "orders", "vault"},
+                  {"statements", "statements", "statements"},
                   {"zone-a", "zone-b", "zone-c"},
                   kSlots},
                  &Run);
