--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,103 +1,107 @@
-// An upstream rejects a few large uploads before their bodies are in, and reads
-// on.
+// A daemon is killed and started again just after a key was withdrawn. Its
+// first read of the store may be stale, page by page.
+
+#include <csignal>
 
 #include "../harness/deployment.h"
 
 namespace pimentohall::review {
 namespace {
 
-constexpr std::size_t kUploadBytes = 600 * 1000;
-// A caller with 5 Mbit/s.
-constexpr int kPieces = 60;
-constexpr milliseconds kPieceGap(16);
-constexpr int kSlots = 18;
-constexpr int kVault = 2;
-// The upstream rejects this share of the uploads, for this long. The largest
-// dose of `garble` with `early` is 0.4 for 6 s.
-constexpr int kRejectedOfTen = 4;
-constexpr milliseconds kDisturbance(6000);
-constexpr milliseconds kGap(12);
-constexpr milliseconds kSettle(8000);
-// Probes after the disturbance.
-constexpr int kProbes = 60;
-constexpr milliseconds kProbeGap(500);
+// Bounds of the site.
+constexpr milliseconds kApplyBound(2000);
+constexpr milliseconds kContact(3000);
+// Stale reads are this old; `fleetbench kinds` names 3 s.
+constexpr milliseconds kStaleAge(3000);
+constexpr std::size_t kConfigurationBytes = 1020 * 1000;
+constexpr std::size_t kMaxValueBytes = 1048576;
+constexpr int kKilled = 2;
+constexpr int kProbes = 12;
+constexpr char kWithdrawnKey[] = "key-of-shore";
+
+// A configuration with many routes, as `big_config` makes it.
+nlohmann::json LargeConfiguration(int version, const std::string& key) {
+  std::vector<nlohmann::json> routes = {
+      Route("balance", "/balance/", "ledger", "idempotent", 2500, 400)};
+  std::size_t bytes = 0;
+  while (bytes < kConfigurationBytes) {
+    const std::string name = "idle-" + std::to_string(routes.size());
+    routes.push_back(
+        Route(name, "/" + name + "/", "ledger", "idempotent", 2500, 400));
+    bytes += routes.back().dump().size() + 1;
+  }
+  nlohmann::json configuration =
+      Configuration(version, routes, {Service("ledger")});
+  configuration["tenants"][0]["apiKeys"] = {key};
+  return configuration;
+}
 
 int Run(const fleet_options& options, bool trouble) {
   fleet small(options);
-  bool rejecting = false;
-  int seen = 0;
-  int rejected = 0;
-  small.rejects_early = [&](int vm, const std::string&) {
-    if (!rejecting || vm != kVault) return false;
-    const bool rejects = ++seen % 10 < kRejectedOfTen;
-    rejected += rejects ? 1 : 0;
-    return rejects;
-  };
-  const std::vector<nlohmann::json> services = {Service("vault"),
-                                                Service("orders")};
-  std::vector<nlohmann::json> routes = {
-      Route("proof-view", "/proofs/", "orders", "idempotent", 1500, 600)};
-  if (!small.Start(Configuration(1, routes, services))) return kCouldNotRun;
-  small.RunFor(seconds(3));
-  // Two routes are added.
-  routes.push_back(
-      Route("crest-upload", "/crests/", "vault", "upload", 2000, 800));
-  routes.push_back(
-      Route("style-lookup", "/styles/", "vault", "idempotent", 2000, 800));
-  small.Store().Put("op/config", Configuration(2, routes, services).dump());
-  small.RunFor(seconds(3));
-  const request upload = {"POST", kHost,        "/crests/1", "key-of-shore",
-                          2000,   kUploadBytes, kPieces,     kPieceGap};
-  const request lookup = {"GET", kHost, "/styles/1", "key-of-shore", 2000, 0};
-  const request view = {"GET", kHost, "/proofs/1", "key-of-shore", 1500, 0};
-  const auto send_uploads = [&](milliseconds time) {
-    const instant end = small.Now() + time;
-    for (int i = 0; small.Now() < end; ++i) {
-      small.Send(i % 2, upload);
-      small.RunFor(kGap);
+  if (!small.Start(LargeConfiguration(1, kWithdrawnKey))) return kCouldNotRun;
+  small.RunFor(seconds(2));
+  small.Store().Put("op/evacuate/zone-b", "{}");
+  small.RunFor(seconds(6));
+  const request with_key = {"GET", kHost, "/balance/1", kWithdrawnKey, 2500, 0};
+  for (int vm = 0; vm < 3; ++vm) small.Send(vm, with_key);
+  small.RunFor(seconds(1));
+  if (small.Runs().size() != 3) return kCouldNotRun;
+
+  const std::string changed = LargeConfiguration(2, "new-key-of-shore").dump();
+  if (changed.size() > kMaxValueBytes) return kCouldNotRun;
+  const instant acked = small.Store().Put("op/config", changed);
+  // The work on zone-b is over; zone-c is next.
+  small.RunFor(milliseconds(200));
+  small.Store().Remove("op/evacuate/zone-b");
+  small.RunFor(milliseconds(200));
+  small.Store().Put("op/evacuate/zone-c", "{}");
+  small.RunFor(milliseconds(200));
+  if (trouble) {
+    // The page with the configuration comes from a replica that lags, the next
+    // page from one that doesn't.
+    small.Store().staleness = [](int vm, const std::string& prefix,
+                                 const std::string& after) {
+      const bool lags = vm == kKilled && prefix == "op/" && after.empty();
+      return lags ? kStaleAge : milliseconds(0);
+    };
+    small.Signal(kKilled, SIGKILL);
+    if (!small.RunUntil([&] { return small.HasEnded(kKilled); }, seconds(2))) {
+      return kCouldNotRun;
     }
-  };
-  send_uploads(seconds(2));
-  rejecting = trouble;
-  send_uploads(kDisturbance);
-  rejecting = false;
-  small.RunFor(kSettle);
-  const std::size_t first = small.Calls().size();
+    small.RunFor(milliseconds(500));
+    if (!small.StartDaemon(kKilled)) return kCouldNotRun;
+  }
+  // All machines are in touch, and the bound is long past.
+  small.RunFor(kContact + kApplyBound + seconds(3));
+  const instant begun = small.Now();
   for (int i = 0; i < kProbes; ++i) {
-    for (const request& each : {upload, lookup, view}) small.Send(i % 2, each);
-    small.RunFor(kProbeGap);
+    for (int vm = 0; vm < 3; ++vm) small.Send(vm, with_key);
+    small.RunFor(seconds(2));
   }
-  small.RunFor(seconds(3));
-  std::map<std::string, int> served;
-  for (std::size_t i = first; i < small.Calls().size(); ++i) {
-    const call& each = *small.Calls()[i];
-    if (each.status == 200) ++served[each.what.path];
+  int old = 0;
+  int refused = 0;
+  for (const auto& each : small.Calls()) {
+    if (each->sent < begun) continue;
+    if (each->status == 401) ++refused;
+    if (small.FindRun(each->id) != nullptr) ++old;
   }
-  const std::string of = " of " + std::to_string(kProbes);
   small.Record().Write(
-      std::to_string(rejected) +
-      " uploads were rejected early. From 8 s after the disturbance on, " +
-      std::to_string(served[upload.path]) + of + " uploads, " +
-      std::to_string(served[lookup.path]) + of + " lookups at the same " +
-      "upstream and " + std::to_string(served[view.path]) + of +
-      " views at others were served");
-  if (served[view.path] < kProbes) return kCouldNotRun;
-  // Routes that were added later are served less than a quarter as often as the
-  // first one: two kinds of request against one.
-  const int later = served[upload.path] + served[lookup.path];
-  return 4 * later < 2 * served[view.path] ? kBroken : kHeld;
+      "key withdrawn at " + std::to_string(small.Record().SecondsAt(acked)) +
+      " s; of " + std::to_string(3 * kProbes) + " requests sent with it from " +
+      std::to_string(small.Record().SecondsAt(begun)) + " s on, " +
+      std::to_string(refused) + " were refused and " + std::to_string(old) +
+      " ran");
+  if (old + refused == 0) return kCouldNotRun;
+  return old > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
 
 int Main(int argc, char** argv) {
-  return RunCase(argc, argv,
-                 {"",
-                  "",
-                  {"orders", "orders", "vault"},
-                  {"zone-a", "zone-b", "zone-c"},
-                  kSlots},
-                 &Run);
+  return RunCase(
+      argc, argv,
+      {"", "", {"ledger", "ledger", "ledger"}, {"zone-a", "zone-b", "zone-c"}},
+      &Run);
 }
 
 }  // namespace pimentohall::review
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -195,10 +196,15 @@
   bool HasEnded(int vm);
   // Changes a field of the VM's settings file.
   void WriteSettings(int vm, const std::string& service);
-  const std::string& Address(int vm) const { return vms_[vm]->address; }
+  // Where the daemon's callers connect.
+  net::endpoint CallersOf(int vm) const {
+    return {vms_[vm]->address, Port(kCallers)};
+  }
 
   // How long an upstream works on a request.
   std::function<milliseconds(const std::string& path)> work;
+  // The least size of an upstream's answer; unset: a few bytes.
+  std::function<std::size_t(const std::string& path)> answer_bytes;
   // Whether an upstream rejects this upload before the body is in, and reads on
   // on the same connection.
   std::function<bool(int vm, const std::string& id)> rejects_early;
