--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -22,13 +22,28 @@
 constexpr duration kMinLargeAnswerInterval = milliseconds(150);
 
 constexpr char kPath[] = "/pimentohall/mirror?";
-constexpr char kSettingsQuery[] = "settings=";
-constexpr char kPatchesQuery[] = "patches=";  // Patches of the settings.
-constexpr char kUpstreamsQuery[] = "upstreams=";
 
-const char* QueryPrefix(source_area area, bool whole) {
-  if (area == source_area::kUpstreams) return kUpstreamsQuery;
-  return whole ? kSettingsQuery : kPatchesQuery;
+// The queries of `kPath`. The revision that the asking daemon holds follows.
+struct query_form {
+  std::string_view prefix;
+  source_area area;
+  source_mirror::export_form form;
+};
+using export_form = source_mirror::export_form;
+constexpr query_form kQueries[] = {
+    {"settings=", source_area::kSettings, export_form::kChanges},
+    {"patches=", source_area::kSettings, export_form::kPatches},
+    {"settings_list=", source_area::kSettings, export_form::kList},
+    {"upstreams=", source_area::kUpstreams, export_form::kChanges},
+    {"upstreams_list=", source_area::kUpstreams, export_form::kList},
+};
+
+std::string Query(source_area area, export_form form, std::uint64_t revision) {
+  for (const query_form& query : kQueries) {
+    if (query.area != area || query.form != form) continue;
+    return std::string(query.prefix) + std::to_string(revision);
+  }
+  return {};
 }
 
 // Parses a number; the text must hold nothing else.
@@ -82,6 +97,7 @@
     progress->behind_since.reset();
     progress->failures = 0;
     progress->needs_whole = false;
+    progress->needs_list = false;
     return;
   }
   if (!progress->behind_since) progress->behind_since = now;
@@ -97,31 +113,61 @@
   Fetch(area, progress, ahead);
 }
 
+export_form peer_follower::NextForm(source_area area,
+                                    const area_progress& progress) {
+  if (progress.needs_list) return export_form::kList;
+  if (area == source_area::kUpstreams || progress.needs_whole) {
+    return export_form::kChanges;
+  }
+  return export_form::kPatches;
+}
+
 void peer_follower::Fetch(source_area area, area_progress* progress,
                           const std::string& peer) {
   progress->fetching = true;
   ++peer_rotation_;
   net::http_request request;
   request.target = fleet_.PeerEndpoint(peer);
-  request.path = kPath + (QueryPrefix(area, progress->needs_whole) +
-                          std::to_string(mirror_.Revision(area)));
+  request.path =
+      kPath + Query(area, NextForm(area, *progress), mirror_.Revision(area));
   request.timeout = kFetchTimeout;
   client_.Start(
       request,
       [this, area, progress,
        peer](const tl::expected<net::http_answer, net::http_failure>& answer) {
         progress->fetching = false;
-        const bool answered = answer && answer->status == 200 && answer->body;
-        if (answered && !answer->body->empty() &&
-            mirror_.Import(*answer->body)) {
-          progress->failures = 0;
-          progress->needs_whole = false;
-          return;
-        }
-        OnNoItems(area, progress, peer, answered);
+        OnAnswer(area, progress, peer, answer);
       });
 }
 
+void peer_follower::OnAnswer(
+    source_area area, area_progress* progress, const std::string& peer,
+    const tl::expected<net::http_answer, net::http_failure>& answer) {
+  using import_result = source_mirror::import_result;
+  const bool answered = answer && answer->status == 200 && answer->body;
+  auto result = import_result::kRejected;
+  if (answered && !answer->body->empty()) {
+    result = mirror_.Import(*answer->body);
+  }
+  switch (result) {
+    case import_result::kApplied:
+      progress->failures = 0;
+      progress->needs_whole = false;
+      progress->needs_list = false;
+      return;
+    case import_result::kDiffers:
+      progress->needs_list = true;
+      net::Log(core::log_level::kInfo, "items differ from a peer's",
+               {{"peer", peer},
+                {"revision", std::to_string(mirror_.Revision(area))}});
+      Fetch(area, progress, peer);
+      return;
+    case import_result::kRejected:
+      break;
+  }
+  OnNoItems(area, progress, peer, answered);
+}
+
 void peer_follower::OnNoItems(source_area area, area_progress* progress,
                               const std::string& peer, bool answered) {
   // A peer that answered without items has no patch, or may not send a large
@@ -139,33 +185,27 @@
 }
 
 std::string peer_follower::Answer(const std::string& target) {
-  using large_values = source_mirror::large_values;
-  std::string_view query = target;
-  query.remove_prefix(sizeof(kPath) - 1);
-  const std::size_t split = query.find('=') + 1;
-  const std::string_view name = query.substr(0, split);
-  if (const auto since = ReadNumber(query.substr(split))) {
-    if (name == kPatchesQuery) {
-      return mirror_.Export(source_area::kSettings, *since,
-                            large_values::kPatched);
-    }
-    if (name == kSettingsQuery) {
-      return AnswerFull(source_area::kSettings, *since);
-    }
-    if (name == kUpstreamsQuery) {
-      return mirror_.Export(source_area::kUpstreams, *since,
-                            large_values::kWhole);
+  std::string_view text = target;
+  text.remove_prefix(sizeof(kPath) - 1);
+  for (const query_form& query : kQueries) {
+    if (text.substr(0, query.prefix.size()) != query.prefix) continue;
+    const auto since = ReadNumber(text.substr(query.prefix.size()));
+    if (!since) break;
+    if (query.area == source_area::kUpstreams ||
+        query.form == export_form::kPatches) {
+      return mirror_.Export(query.area, *since, query.form);
     }
+    return AnswerWhole(query.area, *since, query.form);
   }
   net::Log(core::log_level::kWarning, "request of a peer is unreadable",
            {{"target", target}});
   return {};
 }
 
-std::string peer_follower::AnswerFull(source_area area, std::uint64_t since) {
+std::string peer_follower::AnswerWhole(source_area area, std::uint64_t since,
+                                       export_form form) {
   const instant now = fleet_.loop.Now();
-  std::string bytes =
-      mirror_.Export(area, since, source_mirror::large_values::kWhole);
+  std::string bytes = mirror_.Export(area, since, form);
   if (bytes.size() < kLargeAnswerBytes) return bytes;
   if (now - large_answer_sent_at_ < kMinLargeAnswerInterval) return {};
   large_answer_sent_at_ = now;
--- a/src/node/peer_follower.h
+++ b/src/node/peer_follower.h
@@ -8,7 +8,8 @@
 // the own zone if possible: they are small, and traffic between zones costs
 // more than a short wait. The settings are one large value. They are fetched
 // from a peer as patches; if no patch is available, they are read from the
-// source, or whole from a peer if the source doesn't answer this daemon.
+// source, or whole from a peer if the source doesn't answer this daemon. When
+// the copies still differ after that, the list of all items is fetched.
 
 #include <map>
 #include <string>
@@ -36,15 +37,25 @@
     // A peer answered a request for settings without items that fit (it may
     // lack a patch for a large value), so the whole value is needed.
     bool needs_whole = false;
+    // The changes were applied, and this daemon's items still weren't the
+    // peer's, so the list of all items is needed.
+    bool needs_list = false;
   };
 
   void CatchUp(source_area area, area_progress* progress, instant now);
-  // The items that changed since; empty if a large answer may not be sent yet.
-  std::string AnswerFull(source_area area, std::uint64_t since);
+  static source_mirror::export_form NextForm(source_area area,
+                                             const area_progress& progress);
+  // An area's items with large values whole; empty if a large answer may not be
+  // sent yet.
+  std::string AnswerWhole(source_area area, std::uint64_t since,
+                          source_mirror::export_form form);
   // The address of a peer that is ahead in this area; empty: none.
   std::string FindPeerAhead(source_area area, instant now);
   void Fetch(source_area area, area_progress* progress,
              const std::string& peer);
+  void OnAnswer(
+      source_area area, area_progress* progress, const std::string& peer,
+      const tl::expected<net::http_answer, net::http_failure>& answer);
   void OnNoItems(source_area area, area_progress* progress,
                  const std::string& peer, bool answered);
 
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -1,5 +1,7 @@
 #include "node/source_mirror.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -65,6 +67,11 @@
   return area == source_area::kSettings ? "settings" : "upstreams";
 }
 
+// A revision names one value of a key, so the value isn't hashed.
+std::uint64_t ItemHash(const source_item& item) {
+  return XXH64(item.key.data(), item.key.size(), item.revision);
+}
+
 const char* ProblemName(source_problem problem) {
   switch (problem) {
     case source_problem::kUnreachable:
@@ -195,6 +202,13 @@
     Read(state, last, state->quality);
     return;
   }
+  // Changes that were made since the last revision held may have left no trace
+  // in the items, such as an entry that came and went.
+  std::uint64_t change_revision = 0;
+  if (state->quality == read_consistency::kCurrent &&
+      (!state->complete || state->read_revision > state->revision)) {
+    change_revision = state->read_revision;
+  }
   // The revision of a page that may be stale doesn't say up to which change the
   // page is complete, so the newest revision among the items is used. The watch
   // starts from it too.
@@ -205,7 +219,7 @@
     }
   }
   Replace(state, std::exchange(state->read_items, {}), state->read_revision,
-          ExpiryGrace(*state));
+          change_revision, ExpiryGrace(*state));
   WatchWhenRoleIsKnown(state);
 }
 
@@ -352,7 +366,9 @@
   if (held.revision >= item.revision && !held.key.empty()) return false;
   const bool same = !held.key.empty() && held.value == item.value;
   RecordPatch(state, held, item);
+  if (!held.key.empty()) state->digest -= ItemHash(held);
   held = std::move(item);
+  state->digest += ItemHash(held);
   state->change_revision = std::max(state->change_revision, held.revision);
   if (!same && on_item) on_item(state->area, held, duration{0});
   return !same;
@@ -379,6 +395,7 @@
   if (found == state->items.end()) return;
   if (revision != 0 && found->second.revision > revision) return;
   source_item removed_item = std::move(found->second);
+  state->digest -= ItemHash(removed_item);
   state->patches.erase(key);
   state->items.erase(found);
   removed_item.removed = true;
@@ -388,7 +405,9 @@
 
 void source_mirror::Replace(area_state* state,
                             std::map<std::string, source_item> items,
-                            std::uint64_t revision, duration expiry_grace) {
+                            std::uint64_t revision,
+                            std::uint64_t change_revision,
+                            duration expiry_grace) {
   if (state->complete && revision < state->revision) return;
   std::vector<std::string> missing;
   for (const auto& [key, held] : state->items) {
@@ -399,9 +418,9 @@
     RecordRemoval(state, key, revision);
   }
   for (auto& entry : items) Apply(state, std::move(entry.second));
-  if (!state->complete) state->removals_since = revision;
   // Removals that only the read revealed get the revision of the read.
-  if (!missing.empty()) state->change_revision = revision;
+  if (!missing.empty()) change_revision = std::max(change_revision, revision);
+  state->change_revision = std::max(state->change_revision, change_revision);
   state->revision = revision;
   state->complete = true;
   if (on_changes_applied) on_changes_applied(state->area);
@@ -417,17 +436,17 @@
   const auto oldest = std::min_element(
       state->removals.begin(), state->removals.end(),
       [](const auto& a, const auto& b) { return a.second < b.second; });
-  state->removals_since = std::max(state->removals_since, oldest->second);
   state->removals.erase(oldest);
 }
 
 // ---------------------------------------------------------------------------
 // Exchange of items between daemons. A message is a CBOR array: the area,
-// whether the items are all of the area's, the area's revision and its newest
-// change's revision, the items, the removals, and the time within which expired
-// items may be restored. An item is an array of key, value and revision; a
-// compressed item is followed by the revision of the value that it is a patch
-// of, 0 for none.
+// whether the items are all of the area's, the area's revision and its change
+// revision, the items, the removals, the time within which expired items may be
+// restored, and the digest of all items. An item is an array of key, value and
+// revision; a compressed item is followed by the revision of the value that it
+// is a patch of, 0 for none. An item that the receiver holds already is an
+// array of key and revision.
 
 namespace {
 
@@ -439,11 +458,19 @@
        revision, base});
 }
 
-// Decodes an item. `held`: the value that it may be a patch of, or null.
+// Decodes an item. `held`: the item that it may refer to or be a patch of, or
+// null.
 tl::expected<source_item, std::string> ReadItem(const json& encoded,
                                                 const source_item* held) {
   source_item item;
   item.key = encoded.at(0).get<std::string>();
+  if (encoded.size() == 2) {
+    const auto revision = encoded.at(1).get<std::uint64_t>();
+    if (held == nullptr || held->revision != revision) {
+      return tl::unexpected("no item of revision " + std::to_string(revision));
+    }
+    return *held;
+  }
   item.revision = encoded.at(2).get<std::uint64_t>();
   if (encoded.size() == 3) {
     item.value = encoded.at(1).get<std::string>();
@@ -480,16 +507,17 @@
 }
 
 std::string source_mirror::Export(source_area area, std::uint64_t since,
-                                  large_values form) {
+                                  export_form form) {
   area_state& state = At(area);
-  const bool is_full = since < state.removals_since || since == 0;
-  const bool patched = form == large_values::kPatched;
+  const bool is_full = since == 0 || form == export_form::kList;
+  const bool patched = form == export_form::kPatches;
   if (patched && is_full) return {};
   json items = json::array();
   json removals = json::array();
   for (const auto& [key, item] : state.items) {
-    if (!is_full && item.revision <= since) continue;
-    if (item.value.size() < kLargeValueBytes) {
+    if (item.revision <= since) {
+      if (is_full) items.push_back(json::array({key, item.revision}));
+    } else if (item.value.size() < kLargeValueBytes) {
       items.push_back(json::array({key, item.value, item.revision}));
     } else if (!patched) {
       items.push_back(
@@ -510,73 +538,89 @@
   const json message = json::array(
       {static_cast<int>(area), is_full, state.complete ? state.revision : 0,
        state.change_revision, std::move(items), std::move(removals),
-       ExpiryGrace(state).count()});
+       ExpiryGrace(state).count(), state.digest});
   std::string bytes;
   json::to_cbor(message, bytes);
   return bytes;
 }
 
-bool source_mirror::Import(std::string_view bytes) {
+tl::expected<std::map<std::string, source_item>, std::string>
+source_mirror::ReadItems(area_state* state, const json& encoded) {
+  std::map<std::string, source_item> items;
+  for (const json& entry : encoded) {
+    const auto key = entry.at(0).get<std::string>();
+    const auto next = items.find(key);
+    const auto held = state->items.find(key);
+    const source_item* base = nullptr;
+    if (held != state->items.end()) base = &held->second;
+    if (next != items.end()) base = &next->second;
+    auto item = ReadItem(entry, base);
+    if (!item) return tl::unexpected(item.error());
+    if (entry.size() > 3 && entry.at(3).get<std::uint64_t>() != 0) {
+      const json::binary_t& packed = entry.at(1).get_binary();
+      state->patches[key].Add({entry.at(3).get<std::uint64_t>(), item->revision,
+                               std::string(packed.begin(), packed.end())});
+    }
+    items[key] = std::move(*item);
+  }
+  return items;
+}
+
+source_mirror::import_result source_mirror::Import(std::string_view bytes) {
   try {
     const json message = json::from_cbor(bytes.begin(), bytes.end());
     const int area = message.at(0).get<int>();
-    if (area != 0 && area != 1) return false;
+    if (area != 0 && area != 1) return import_result::kRejected;
     area_state& state = areas_[area];
     const bool is_full = message.at(1).get<bool>();
     const auto revision = message.at(2).get<std::uint64_t>();
     const auto change = message.at(3).get<std::uint64_t>();
     // A message that isn't newer is skipped, and so is a partial one while this
     // daemon has no complete items to apply it to.
-    if (revision <= state.revision && state.complete) return true;
-    if (revision == 0 || (!is_full && !state.complete)) return true;
-    std::map<std::string, source_item> items;
-    for (const json& entry : message.at(4)) {
-      const auto key = entry.at(0).get<std::string>();
-      const auto next = items.find(key);
-      const auto held = state.items.find(key);
-      const source_item* base = nullptr;
-      if (held != state.items.end()) base = &held->second;
-      if (next != items.end()) base = &next->second;
-      auto item = ReadItem(entry, base);
-      if (!item) {
-        net::Log(core::log_level::kInfo, "item of a peer doesn't fit",
-                 {{"area", AreaName(state.area)},
-                  {"own_revision", std::to_string(state.revision)},
-                  {"problem", item.error()}});
-        return false;
-      }
-      if (entry.size() > 3 && entry.at(3).get<std::uint64_t>() != 0) {
-        const json::binary_t& packed = entry.at(1).get_binary();
-        state.patches[key].Add({entry.at(3).get<std::uint64_t>(),
-                                item->revision,
-                                std::string(packed.begin(), packed.end())});
-      }
-      items[key] = std::move(*item);
+    if (revision <= state.revision && state.complete) {
+      return import_result::kApplied;
+    }
+    if (revision == 0 || (!is_full && !state.complete)) {
+      return import_result::kApplied;
+    }
+    auto items = ReadItems(&state, message.at(4));
+    if (!items) {
+      net::Log(core::log_level::kInfo, "item of a peer doesn't fit",
+               {{"area", AreaName(state.area)},
+                {"own_revision", std::to_string(state.revision)},
+                {"problem", items.error()}});
+      return import_result::kRejected;
     }
     const duration grace{message.at(6).get<duration::rep>()};
     net::Log(core::log_level::kInfo, "took items over from a peer",
              {{"area", AreaName(state.area)},
               {"revision", std::to_string(revision)},
               {"own_revision", std::to_string(state.revision)},
-              {"items", std::to_string(items.size())},
+              {"all", is_full ? "yes" : "no"},
+              {"items", std::to_string(items->size())},
               {"removals", std::to_string(message.at(5).size())}});
     if (is_full) {
-      Replace(&state, std::move(items), revision, grace);
-    } else {
-      for (const json& entry : message.at(5)) {
-        Remove(&state, entry.at(0).get<std::string>(),
-               entry.at(1).get<std::uint64_t>(), grace);
-      }
-      for (auto& entry : items) Apply(&state, std::move(entry.second));
+      Replace(&state, std::move(*items), revision, change, grace);
+      return import_result::kApplied;
+    }
+    for (const json& entry : message.at(5)) {
+      Remove(&state, entry.at(0).get<std::string>(),
+             entry.at(1).get<std::uint64_t>(), grace);
+    }
+    for (auto& entry : *items) Apply(&state, std::move(entry.second));
+    // Daemons of earlier versions send no digest.
+    const bool differs = message.size() > 7 &&
+                         message.at(7).get<std::uint64_t>() != state.digest;
+    if (!differs) {
       state.revision = revision;
-      if (on_changes_applied) on_changes_applied(state.area);
+      state.change_revision = std::max(state.change_revision, change);
     }
-    state.change_revision = std::max(state.change_revision, change);
-    return true;
+    if (on_changes_applied) on_changes_applied(state.area);
+    return differs ? import_result::kDiffers : import_result::kApplied;
   } catch (const json::exception& error) {
     net::Log(core::log_level::kWarning, "items of a peer are unreadable",
              {{"problem", error.what()}});
-    return false;
+    return import_result::kRejected;
   }
 }
 
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -15,6 +15,11 @@
 // (from a read or from a peer) replaces the items only if it is at least as
 // new.
 //
+// A revision doesn't tell whether two copies hold the same items: a daemon that
+// started or read anew never saw what was removed before. A copy therefore has
+// a digest too. Changes that a peer sends come with the digest of its copy; if
+// the own digest differs once they are applied, the list of all items follows.
+//
 // The pages of a read aren't one snapshot. The watch therefore starts from the
 // first page's revision, and changes made between pages arrive again as events.
 // After a read that may be stale (at start), it starts from the newest revision
@@ -23,6 +28,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -41,7 +47,9 @@
   void Start();
   // Starts watching when this daemon becomes a reader. To be called often.
   void UpdateRole();
-  // The newest revision of a change that this area's copy contains.
+  // The newest revision at which this area's copy may have changed. After a
+  // read that followed a gap this is the read's revision, as the gap may hide
+  // changes that left no trace in the items.
   std::uint64_t ChangeRevision(source_area area) const {
     return At(area).change_revision;
   }
@@ -58,15 +66,23 @@
   // Reads the area anew, unless a read is in flight or the last call is recent.
   void RequestRead(source_area area);
 
-  // How large values are sent to a peer.
-  enum class large_values { kWhole, kPatched };
-  // The items of an area that changed after `since`, as CBOR, for a peer; all
-  // items if the removals since then are no longer known. Empty if patches are
-  // requested and one is missing.
-  std::string Export(source_area area, std::uint64_t since, large_values form);
-  // Applies a peer's items where they are newer. Returns false if they are
-  // malformed or a patch doesn't apply.
-  bool Import(std::string_view bytes);
+  enum class export_form {
+    kChanges,  // What changed, and the removals that are known.
+    kPatches,  // The same, with large values as patches.
+    kList,     // All items; those that didn't change by key and revision.
+  };
+  // An area's items for a peer that holds all changes up to `since`, as CBOR.
+  // Every form holds all items if `since` is 0. Empty if patches are requested
+  // and one is missing.
+  std::string Export(source_area area, std::uint64_t since, export_form form);
+
+  enum class import_result {
+    kApplied,
+    kRejected,  // Malformed, or based on an item that isn't held.
+    kDiffers,   // Applied, but the copy differs from the peer's.
+  };
+  // Applies a peer's items where they are newer.
+  import_result Import(std::string_view bytes);
 
   // Called when an item changed or was removed. `expiry_grace`: if the source
   // had an outage recently, a missing item may be restored within this time; 0
@@ -81,7 +97,8 @@
     source_area area = source_area::kSettings;
     std::map<std::string, source_item> items;
     std::uint64_t revision = 0;         // All changes up to it are contained.
-    std::uint64_t change_revision = 0;  // Of the newest change contained.
+    std::uint64_t change_revision = 0;  // See `ChangeRevision`.
+    std::uint64_t digest = 0;           // Sum of the hashes of all items.
     bool complete = false;              // A read was completed.
     bool following = false;             // Changes come from peers, not watches.
     std::map<std::string, mesh::patch_history> patches;  // Of large values.
@@ -89,9 +106,8 @@
     std::string packed_key;
     std::uint64_t packed_revision = 0;
     std::string packed;
-    // Revisions of removals by key; complete after `removals_since`.
+    // Revisions of the newest removals that this daemon learned of, by key.
     std::map<std::string, std::uint64_t> removals;
-    std::uint64_t removals_since = 0;
     bool reading = false;   // A read is in flight.
     bool watching = false;  // A watch is in flight.
     bool connected = false;
@@ -130,12 +146,17 @@
   void OnProblem(area_state* state, source_problem problem);
   void OnAnswered(area_state* state);
   // Replaces all items and reports the differences to `on_item`.
+  // `change_revision`: see `ChangeRevision`; 0 if the items show it.
   void Replace(area_state* state, std::map<std::string, source_item> items,
-               std::uint64_t revision, duration expiry_grace);
+               std::uint64_t revision, std::uint64_t change_revision,
+               duration expiry_grace);
   bool Apply(area_state* state, source_item item);
   void RecordPatch(area_state* state, const source_item& held,
                    const source_item& next);
   const std::string& PackFull(area_state* state, const source_item& item);
+  // Decodes the items of a peer's message.
+  tl::expected<std::map<std::string, source_item>, std::string> ReadItems(
+      area_state* state, const nlohmann::json& encoded);
   void RecordRemoval(area_state* state, const std::string& key,
                      std::uint64_t revision);
   void Remove(area_state* state, const std::string& key, std::uint64_t revision,
--- a/testing/unit/source_roles_test.cc
+++ b/testing/unit/source_roles_test.cc
@@ -233,5 +233,61 @@
   CHECK(fleet.Call(1, "GET", "/read/1")->status == 401);
 }
 
+std::vector<int> Readers(node_fleet* fleet) {
+  std::vector<int> readers;
+  for (const auto& [i, daemon] : fleet->nodes) {
+    if (ReadsSource(fleet, i)) readers.push_back(i);
+  }
+  return readers;
+}
+
+// Changes the source while no reader runs, and drops its history before they
+// run again.
+void ChangeWithoutReaders(node_fleet* fleet,
+                          const std::function<void()>& change) {
+  fleet->RunFor(kSettleTime);
+  const std::vector<int> readers = Readers(fleet);
+  REQUIRE(readers.size() == 3);
+  for (const int i : readers) fleet->nodes.erase(i);
+  change();
+  fleet->store.Compact();
+  fleet->RunFor(milliseconds(200));
+  for (const int i : readers) fleet->StartNode(i);
+}
+
+// Guards against DRAIN in review/4: the readers started again after an entry
+// was removed, reported no change, and the others kept the entry.
+TEST_CASE("a removal that no reader saw reaches the daemons that ran on") {
+  node_fleet fleet(6);
+  fleet.Start();
+  int leaving = 0;
+  ChangeWithoutReaders(&fleet, [&fleet, &leaving] {
+    leaving = fleet.nodes.begin()->first;
+    fleet.store.Remove("servers/i-" + std::to_string(leaving));
+  });
+  fleet.RunFor(seconds(2));
+  const int before = fleet.upstreams[leaving]->Runs();
+  for (int call = 0; call < 40; ++call) {
+    for (const auto& [i, daemon] : fleet.nodes) {
+      CHECK(fleet.Call(i, "GET", "/read/1")->status == 200);
+    }
+  }
+  CHECK(fleet.upstreams[leaving]->Runs() == before);
+}
+
+// The same for the other area: the zone stayed out of service.
+TEST_CASE("a zone taken back while no reader ran is used again") {
+  node_fleet fleet(6);
+  fleet.Start();
+  fleet.store.Put("op/evacuate/z", "{}");
+  CHECK(TimeUntilAll(&fleet, 503) < seconds(2));
+  // The newest item is one that stays.
+  fleet.PutConfig("r2");
+  ChangeWithoutReaders(&fleet,
+                       [&fleet] { fleet.store.Remove("op/evacuate/z"); });
+  fleet.RunFor(seconds(2));
+  CHECK(TimeUntilAll(&fleet, 200) < seconds(2));
+}
+
 }  // namespace
 }  // namespace pimentohall::node
