Keep older answers of the source from undoing newer changes

Callers could be sent to an upstream that had been removed, or not to one that had just been listed, until its next change.

Cause: a watch or read that is answered late is applied although a peer has told of newer changes meanwhile. An item that a peer told to be removed came back with the older answer, and the next watch started behind the removal. A list removed items that are newer than the list itself.

Evidence: three tests of source_mirror_test, each failed before the change.

Change: events up to the copy's revision are skipped, an item isn't applied over its own newer removal, and a list removes no item newer than itself.

--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -265,6 +265,8 @@
   OnAnswered(state);
   bool changed = false;
   for (source_item& item : page.items) {
+    // A peer may have told of newer changes while the answer was on its way.
+    if (item.revision <= state->revision) continue;
     if (item.removed) {
       Remove(state, item.key, item.revision, ExpiryGrace(*state));
       changed = true;
@@ -358,6 +360,10 @@
 // Items.
 
 bool source_mirror::Apply(area_state* state, source_item item) {
+  const auto removal = state->removals.find(item.key);
+  if (removal != state->removals.end() && removal->second >= item.revision) {
+    return false;
+  }
   source_item& held = state->items[item.key];
   if (held.revision >= item.revision && !held.key.empty()) return false;
   const bool same = !held.key.empty() && held.value == item.value;
@@ -407,7 +413,10 @@
   if (state->complete && revision < state->revision) return;
   std::vector<std::string> missing;
   for (const auto& [key, held] : state->items) {
-    if (items.count(key) == 0) missing.push_back(key);
+    // The copy says nothing of changes after its revision.
+    if (items.count(key) == 0 && held.revision <= revision) {
+      missing.push_back(key);
+    }
   }
   for (const std::string& key : missing) {
     Remove(state, key, 0, expiry_grace);
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -11,9 +11,9 @@
 // precede it report that the source answers them.
 //
 // Invariant: an area's items never revert to an older revision. A page or event
-// that is older than the item held for its key is dropped, and a complete copy
-// (from a read or from a peer) replaces the items only if it is at least as
-// new.
+// that is older than the item held for its key, or than its removal, is
+// dropped. A complete copy (from a read or from a peer) replaces the items only
+// if it is at least as new, and removes only items that aren't newer than it.
 //
 // A revision doesn't tell whether two copies hold the same items: a daemon that
 // started or read anew never saw what was removed before. A copy therefore has
--- a/testing/unit/source_mirror_test.cc
+++ b/testing/unit/source_mirror_test.cc
@@ -54,6 +54,10 @@
   return {key, key + "@" + std::to_string(revision), revision, false};
 }
 
+source_item Removal(const std::string& key, std::uint64_t revision) {
+  return {key, "", revision, true};
+}
+
 // A daemon's copy of the source, and the items that it put in force.
 struct mirrored {
   mirrored()
@@ -114,5 +118,65 @@
   CHECK(daemon.mirror.Revision(source_area::kUpstreams) == 0);
 }
 
+// Guards against an upstream that comes back: a watch was answered late, after
+// a peer had told of a removal that is newer than the answer.
+TEST_CASE("a late answer of a watch doesn't undo a newer removal") {
+  const auto area = source_area::kUpstreams;
+  mirrored daemon;
+  mirrored peer;
+  daemon.Start({{Item("a", 5), Item("b", 6)}, false, 6});
+  peer.Start({{Item("a", 5), Item("b", 6)}, false, 6});
+  peer.source.AnswerWatch(
+      area, source_page{{Item("a", 7), Removal("a", 9)}, false, 9});
+  CHECK(daemon.mirror.Import(peer.mirror.Export(
+            area, 6, source_mirror::export_form::kChanges)) ==
+        source_mirror::import_result::kApplied);
+  CHECK(daemon.in_force.count("a") == 0);
+  daemon.source.AnswerWatch(area, source_page{{Item("a", 7)}, false, 7});
+  CHECK(daemon.in_force.count("a") == 0);
+  CHECK(daemon.mirror.Revision(area) == 9);
+}
+
+// The same for a read, when the copy is still without other changes of the
+// peer.
+TEST_CASE("a late answer of a read doesn't undo a newer removal") {
+  const auto area = source_area::kUpstreams;
+  mirrored daemon;
+  mirrored peer;
+  daemon.Start({{Item("a", 5), Item("b", 6)}, false, 6});
+  peer.Start({{Item("a", 5), Item("b", 6), Item("x", 4)}, false, 6});
+  peer.source.AnswerWatch(area, source_page{{Removal("a", 9)}, false, 9});
+  daemon.source.AnswerWatch(area, tl::unexpected(source_problem::kHistoryGone));
+  CHECK(daemon.mirror.Import(peer.mirror.Export(
+            area, 6, source_mirror::export_form::kChanges)) ==
+        source_mirror::import_result::kDiffers);
+  CHECK(daemon.in_force.count("a") == 0);
+  daemon.source.AnswerRead(
+      area, {{Item("a", 5), Item("b", 6), Item("x", 4)}, false, 7});
+  CHECK(daemon.in_force.count("a") == 0);
+  CHECK(daemon.in_force.count("x") == 1);
+}
+
+// Guards against an upstream that is lost until its next change: the daemon
+// held it from a later page of a read, and the peer's list is older than that.
+TEST_CASE("a list that is older than an item doesn't remove it") {
+  const auto area = source_area::kUpstreams;
+  mirrored daemon;
+  mirrored peer;
+  daemon.Start({{Item("a", 5)}, false, 6});
+  daemon.source.AnswerWatch(area, tl::unexpected(source_problem::kHistoryGone));
+  daemon.source.AnswerRead(area, {{Item("a", 5)}, true, 6});
+  daemon.source.AnswerRead(area, {{Item("c", 9)}, false, 9});
+  CHECK(daemon.in_force.count("c") == 1);
+  peer.Start({{Item("a", 5), Item("b", 7)}, false, 7});
+  using form = source_mirror::export_form;
+  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kChanges)) ==
+        source_mirror::import_result::kDiffers);
+  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kList)) ==
+        source_mirror::import_result::kApplied);
+  CHECK(daemon.in_force.count("b") == 1);
+  CHECK(daemon.in_force.count("c") == 1);
+}
+
 }  // namespace
 }  // namespace pimentohall::node
