Answer calls that wait in a queue when their daemon stops (LOST)

Cause: a planned stop ended the event loop 0.4 s before the grace time, whatever was pending. Queues take calls as long as their budget allows and knew nothing of that end.

Evidence: the daemon logs "stopped" with calls pending; the daemons with the queues log not_run, cancelled at that moment.

Change: `fleet_state::stop_ends_at` is known to all parts. Calls sent during the stop have it as their deadline, so a queue refuses at once what can't end by then. When a call that starts now couldn't end any more, the ingress asks the daemon that has it: one that waits is barred there and refused with 503, one that runs goes on. 0.1 s before the end what is left gets 504 (503 if it was never sent). The own queue returns its calls to the daemons they came from, which send them elsewhere.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -640,6 +640,9 @@
   // `Push`.
   std::vector<work_item> DropOvertaken(int slots, duration running,
                                        instant now);
+  // Calls must end by `end`: deadlines of queued calls after it become `end`.
+  // Doesn't affect calls that are pushed later.
+  void CapDeadlines(instant end);
   // Removes and returns all calls.
   std::vector<work_item> Clear();
   std::size_t Size() const { return items_.size(); }
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -192,6 +192,10 @@
   return overtaken;
 }
 
+void work_queue::CapDeadlines(instant end) {
+  for (work_item& item : items_) item.deadline = std::min(item.deadline, end);
+}
+
 std::vector<work_item> work_queue::Clear() { return std::exchange(items_, {}); }
 
 std::optional<instant> work_queue::NextExpiry() const {
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -225,7 +225,7 @@
   item.rank = call.info.rank;
   item.nested = call.info.nested;
   item.aim_at = call.aim_at;
-  item.deadline = call.deadline - kAnswerMargin;
+  item.deadline = std::min(call.deadline, fleet_.stop_ends_at) - kAnswerMargin;
   item.expected = ExpectedTime(call.info);
   return item;
 }
@@ -284,11 +284,7 @@
   const bool may_start =
       upstream_ && !upstream_->draining && state_ != upstream_state::kDown;
   if (!may_start) {
-    for (const mesh::work_item& item : queue_.Clear()) {
-      // A copy of the pointer: ending the call removes the one in the table.
-      const call_ptr call = calls_.at(item.id);
-      Refuse(call, core::reason::kStopping, kIngressRetryAfter);
-    }
+    RefuseQueued();
     return;
   }
   // Until the upstream has answered once, it isn't known whether it is cold.
@@ -314,6 +310,19 @@
   ScheduleWake();
 }
 
+void egress::RefuseQueued() {
+  for (const mesh::work_item& item : queue_.Clear()) {
+    // A copy of the pointer: ending the call removes the one in the table.
+    const call_ptr call = calls_.at(item.id);
+    Refuse(call, core::reason::kStopping, kIngressRetryAfter);
+  }
+}
+
+void egress::LimitQueue() {
+  queue_.CapDeadlines(fleet_.stop_ends_at - kAnswerMargin);
+  StartQueuedCalls();
+}
+
 void egress::ScheduleWake() {
   const instant now = fleet_.loop.Now();
   instant wake = instant::max();
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -35,8 +35,13 @@
   // Applies the directory entry of this VM's upstream. To be called after each
   // change of the directory or the configuration.
   void OnDirectory();
+  // A planned stop: queued calls that can't end by `fleet_state::stop_ends_at`
+  // return to their ingress, which may send them elsewhere.
+  void LimitQueue();
   // Refuses new calls; running and queued calls finish.
   void BeginStop();
+  // Returns all queued calls to their ingress.
+  void RefuseQueued();
   bool IsIdle() const { return calls_.empty(); }
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const { return queue_.Size(); }
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -65,6 +65,8 @@
   }
   node_metrics metrics;
   bool stopping = false;
+  // When a planned stop ends the process, whatever is still pending.
+  instant stop_ends_at = instant::max();
   // The repeats among the runs of this VM's upstream.
   mesh::repeat_ascriber repeats;
 
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -215,6 +215,12 @@
   return candidates;
 }
 
+// Whether a call that starts now would be cut by the end of a planned stop.
+bool ingress::CantEndBeforeStop(const call& call, instant now) const {
+  return fleet_.stopping &&
+         now + fleet_.TypicalTime(*call.route) >= fleet_.stop_ends_at;
+}
+
 void ingress::StartNextAttempt(const call_ptr& call) {
   // After a stall, the daemon may read a call and the end of its connection in
   // the same turn of the loop.
@@ -227,6 +233,10 @@
     OnDeadline(call);
     return;
   }
+  if (CantEndBeforeStop(*call, now)) {
+    RefuseUnavailable(call, core::reason::kStopping);
+    return;
+  }
   const auto candidates = Candidates(*call, now);
   mesh::call_profile profile;
   profile.typical = fleet_.TypicalTime(*call->route);
@@ -262,7 +272,8 @@
   header.nested = call.nested;
   header.idempotent = call.route->idempotent;
   header.repeat = call.sent > 0;
-  header.budget_ms = ToWholeMs(call.deadline - now);
+  header.budget_ms =
+      ToWholeMs(std::min(call.deadline, fleet_.stop_ends_at) - now);
   header.aim_ms = ToWholeMs(call.aim_at - now);
   header.typical_ms = ToWholeMs(fleet_.TypicalTime(*call.route));
   return header;
@@ -283,6 +294,8 @@
   call->forwarded = now;
   call->tried_upstreams.push_back(upstream);
   call->has_answer_head = false;
+  call->querying_attempt = false;
+  call->withdrawal_asked = false;
   call->answer_body.clear();
   stream::message_head head;
   head.method = call->head.method;
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -29,6 +29,11 @@
   void BeginStop();
   // Closes idle connections and refuses new ones.
   void StopListening();
+  // In a planned stop: refuses calls that still wait before an upstream and
+  // can't be answered any more before the process ends.
+  void WithdrawHopelessCalls();
+  // Answers all pending calls whose answer hasn't begun.
+  void EndPendingCalls();
   std::size_t Pending() const { return calls_.size(); }
   std::size_t Connections() const { return server_.Connections(); }
   // The daemon at this address restarted: the attempts it held are lost.
@@ -50,6 +55,7 @@
   std::vector<mesh::target_picker::candidate> Candidates(const call& call,
                                                          instant now) const;
   bool IsAllowedRegion(const call& call, const std::string& zone) const;
+  bool CantEndBeforeStop(const call& call, instant now) const;
   void Forward(const call_ptr& call, const std::string& upstream,
                const std::string& address);
   // Bytes of the request's body, as far as they are known.
@@ -70,6 +76,11 @@
   void OnMayHaveRun(const call_ptr& call, core::reason reason);
   void OnAttemptFailed(const call_ptr& call, stream::failure failure);
   void ResolveLostAttempt(const call_ptr& call);
+  // Asks whether the current attempt ran, and bars it if it didn't. `done` is
+  // called unless the call has ended or is at another attempt by then.
+  void QueryAttempt(const call_ptr& call,
+                    const std::function<void(bool not_run)>& done);
+  void WithdrawAttempt(const call_ptr& call);
   bool MayRetry(const call_ptr& call, instant now);
 
   void Relay(const call_ptr& call);
@@ -82,6 +93,8 @@
               core::reason reason);
   void OnCallerDisconnected(const call_ptr& call);
   void OnDeadline(const call_ptr& call);
+  // Ends a call that can't be waited for any longer.
+  void EndUnanswered(const call_ptr& call, core::reason reason);
 
   fleet_state& fleet_;
   stream::server server_;
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -225,6 +225,8 @@
     server_.Abort(call->inbound);
     return;
   }
+  // The answer to the query decides.
+  if (call->querying_attempt) return;
   // Without its body, no daemon starts a call.
   if (failure == stream::failure::kNotSent || call->body_withheld) {
     outcome_header not_sent;
@@ -240,10 +242,11 @@
   ResolveLostAttempt(call);
 }
 
-// Asks the daemon whether the attempt ran. The answer "not_run" also guarantees
-// that it never will. Only the process that got the attempt can give it: the
-// daemon may have been started again since.
-void ingress::ResolveLostAttempt(const call_ptr& call) {
+// The answer "not_run" also guarantees that the attempt never will run. Only
+// the process that got the attempt can give it: the daemon may have been
+// started again since.
+void ingress::QueryAttempt(const call_ptr& call,
+                           const std::function<void(bool not_run)>& done) {
   call->querying_attempt = true;
   net::http_request query;
   query.target = fleet_.PeerEndpoint(call->address);
@@ -253,28 +256,71 @@
       std::min(kAttemptQueryTimeout, call->deadline - fleet_.loop.Now());
   attempt_queries_.Start(
       query,
-      [this,
-       call](const tl::expected<net::http_answer, net::http_failure>& answer) {
-        if (call->finished) return;
+      [this, call, done, attempt = call->attempt_id](
+          const tl::expected<net::http_answer, net::http_failure>& answer) {
+        if (call->finished || call->attempt_id != attempt) return;
         call->querying_attempt = false;
         const bool not_run = answer && answer->status == 200 && answer->body &&
                              *answer->body == "not_run";
-        net::Log(core::log_level::kInfo, "asked for a lost attempt",
+        net::Log(core::log_level::kInfo, "asked for an attempt",
                  {{"request", call->caller_id},
                   {"attempt", call->attempt_id},
                   {"peer", call->address},
+                  {"why", call->withdrawal_asked ? "stop" : "lost"},
                   {"outcome", not_run ? "not_run" : "may_have_run"}});
-        if (!not_run) {
-          OnMayHaveRun(call, core::reason::kPeerLost);
-          return;
-        }
-        outcome_header outcome_info;
-        outcome_info.result = outcome::kNotRun;
-        outcome_info.reason = core::reason::kPeerLost;
-        OnRefused(call, outcome_info);
+        done(not_run);
       });
 }
 
+void ingress::ResolveLostAttempt(const call_ptr& call) {
+  QueryAttempt(call, [this, call](bool not_run) {
+    if (!not_run) {
+      OnMayHaveRun(call, core::reason::kPeerLost);
+      return;
+    }
+    outcome_header outcome_info;
+    outcome_info.result = outcome::kNotRun;
+    outcome_info.reason = core::reason::kPeerLost;
+    OnRefused(call, outcome_info);
+  });
+}
+
+// An attempt that runs, or whose daemon doesn't answer, goes on.
+void ingress::WithdrawAttempt(const call_ptr& call) {
+  call->withdrawal_asked = true;
+  QueryAttempt(call, [this, call](bool not_run) {
+    if (not_run) {
+      if (call->attempt) call->attempt->Cancel();
+      call->attempt = nullptr;
+      RefuseUnavailable(call, core::reason::kStopping);
+    } else if (call->attempt == nullptr) {
+      OnMayHaveRun(call, core::reason::kPeerLost);
+    }
+  });
+}
+
+void ingress::WithdrawHopelessCalls() {
+  const instant now = fleet_.loop.Now();
+  std::vector<call_ptr> hopeless;
+  for (const auto& [inbound, call] : calls_) {
+    const bool may_wait = call->attempt != nullptr && !call->has_answer_head;
+    if (may_wait && !call->withdrawal_asked && CantEndBeforeStop(*call, now)) {
+      hopeless.push_back(call);
+    }
+  }
+  for (const call_ptr& call : hopeless) WithdrawAttempt(call);
+}
+
+void ingress::EndPendingCalls() {
+  std::vector<call_ptr> pending;
+  for (const auto& [inbound, call] : calls_) {
+    if (!call->streams_answer) pending.push_back(call);
+  }
+  for (const call_ptr& call : pending) {
+    EndUnanswered(call, core::reason::kStopping);
+  }
+}
+
 void ingress::OnPeerRestarted(const std::string& address) {
   pool_.FailAll(fleet_.PeerEndpoint(address));
 }
@@ -382,19 +428,23 @@
 }
 
 void ingress::OnDeadline(const call_ptr& call) {
+  EndUnanswered(call, core::reason::kDeadline);
+}
+
+void ingress::EndUnanswered(const call_ptr& call, core::reason reason) {
   if (call->finished) return;
   const bool may_run = call->attempt != nullptr || call->querying_attempt;
   if (call->streams_answer) {
-    Finish(call, 0, "daemon", core::reason::kDeadline);
+    Finish(call, 0, "daemon", reason);
     server_.Abort(call->inbound);
     return;
   }
   if (RelayFailedAnswer(call)) return;
   if (may_run || call->may_have_run) {
-    Refuse(call, 504, core::reason::kDeadline, {});
+    Refuse(call, 504, reason, {});
     return;
   }
-  RefuseUnavailable(call, core::reason::kDeadline);
+  RefuseUnavailable(call, reason);
 }
 
 }  // namespace pimentohall::node
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -49,6 +49,8 @@
   bool has_answer_head = false;
   bool streams_answer = false;    // The head went out to the caller.
   bool querying_attempt = false;  // Asking a daemon whether the attempt ran.
+  // In a planned stop, the daemon was asked to drop the attempt if it waits.
+  bool withdrawal_asked = false;
 
   // An upstream's failed answer, kept while another upstream is tried. The
   // caller gets it if no attempt succeeds.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -33,6 +33,8 @@
 constexpr duration kHandOverDuration = milliseconds(400);
 // Part of the grace time that is reserved for the process's exit.
 constexpr duration kGraceMargin = milliseconds(400);
+// Calls that are still pending are answered this long before the process ends.
+constexpr duration kFinalAnswerTime = milliseconds(100);
 constexpr duration kStopPollPeriod = milliseconds(50);
 
 std::uint32_t RandomBoot() { return std::random_device{}(); }
@@ -100,10 +102,12 @@
     if (fleet_.stopping) return;
     fleet_.stopping = true;
     stop_began_ = fleet_.loop.Now();
+    fleet_.stop_ends_at = stop_began_ + fleet_.settings.grace - kGraceMargin;
     net::Log(core::log_level::kInfo, "stop began",
              {{"pending", std::to_string(ingress_.Pending())},
               {"running", std::to_string(egress_.Running())}});
     ingress_.BeginStop();
+    egress_.LimitQueue();
     stop_timer_ = fleet_.timers.Every(
         kStopPollPeriod, sigc::slot<void()>([this] { AdvanceStop(); }));
   }
@@ -409,11 +413,16 @@
       ingress_.StopListening();
       SendNewsToAll();
     }
+    ingress_.WithdrawHopelessCalls();
+    if (now >= fleet_.stop_ends_at - kFinalAnswerTime) {
+      egress_.RefuseQueued();
+      ingress_.EndPendingCalls();
+    }
     // An open connection may hold a request that was received but not yet read.
     const bool idle = handing_over_ && ingress_.Pending() == 0 &&
                       ingress_.Connections() == 0 && egress_.IsIdle() &&
                       now - handed_over_at_ >= kHandOverDuration;
-    if (!idle && age < fleet_.settings.grace - kGraceMargin) return;
+    if (!idle && now < fleet_.stop_ends_at) return;
     net::Log(core::log_level::kInfo, "stopped",
              {{"pending", std::to_string(ingress_.Pending())},
               {"running", std::to_string(egress_.Running())},
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -652,6 +652,21 @@
   CHECK(upstreams.Usable("ledger")[0]->what.id == "new");
 }
 
+// Guards against calls that wait for a daemon which ends before they do.
+TEST_CASE("queued calls that can't end before a stop expire") {
+  work_queue queue;
+  const duration aim = milliseconds(400);
+  const duration work = milliseconds(100);
+  REQUIRE(queue.Push(Item(1, 0, aim, seconds(5), work), 2, work, kStart));
+  REQUIRE(queue.Push(Item(2, 0, aim, seconds(1), work), 2, work, kStart));
+  queue.CapDeadlines(kStart + seconds(2));
+  CHECK(queue.NextExpiry() == kStart + seconds(1) - work / 2);
+  REQUIRE(queue.Remove(2));
+  CHECK(queue.NextExpiry() == kStart + seconds(2) - work / 2);
+  CHECK(queue.Expire(kStart + milliseconds(1950)).empty());
+  CHECK(queue.Expire(kStart + milliseconds(1951)).size() == 1);
+}
+
 TEST_CASE("a call that can't end in time is refused with a retry time") {
   work_queue queue;
   const auto too_short = queue.Push(
