--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -379,7 +379,12 @@
   const auto is_own =
       [this, id = call->caller_id](const stream::message_head& answer) {
         const upstream_answer facts = fleet_.dialect.ReadAnswer(answer);
-        return facts.id.empty() ? answer.status >= 300 : facts.id == id;
+        if (facts.id == id) return true;
+        net::Log(core::log_level::kWarning, "answer to another request skipped",
+                 {{"request", id},
+                  {"answered", facts.id},
+                  {"status", std::to_string(answer.status)}});
+        return false;
       };
   call->exchange =
       pool_.Start(fleet_.settings.upstream, head, std::move(handlers), is_own);
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -7,8 +7,10 @@
 //
 // The outcome of an attempt is exact here. An attempt is answered kNotRun only
 // if no byte of it was written to the upstream, and it is never started after
-// that answer. When the link to an attempt's ingress closes, the attempt is
-// removed from the queue, or cancelled if it runs.
+// that answer. An upstream's answer counts only if it names the request: an
+// earlier answer, a refusal above all, may arrive again on a connection that is
+// in use by the next request. When the link to an attempt's ingress closes, the
+// attempt is removed from the queue, or cancelled if it runs.
 
 #include <cstdint>
 #include <functional>
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -189,6 +189,59 @@
   }
 }
 
+// Guards against REFUSED and TWICE: an upstream wrote a refusal of an earlier
+// request again, and it was taken as the refusal of a request that ran.
+TEST_CASE("a refusal that doesn't name its request refuses none") {
+  struct refusal {
+    int status;
+    net::header_list headers;
+  };
+  const refusal refusals[] = {
+      {503, {{"X-Not-Executed", "1"}}},
+      {400, {{"X-Not-Executed", "1"}}},
+      {503, {}},
+      {429, {}},
+      {421, {}},
+      {503, {{"X-Not-Executed", "1"}, {"X-Attempt-Id", "id-of-another"}}},
+  };
+  for (const refusal& again : refusals) {
+    CAPTURE(again.status);
+    node_fleet fleet(2);
+    fleet.Start();
+    for (auto& owned : fleet.upstreams) {
+      upstream_standin* const upstream = owned.get();
+      upstream->script = [&again, upstream](
+                             const std::shared_ptr<stream::server_exchange>& c,
+                             const std::string&) {
+        upstream->Answer(c, "", again.status, "", again.headers);
+      };
+    }
+    const auto call =
+        fleet.Call(0, "POST", "/write/1", "x", {}, /*budget=*/"500");
+    CHECK((call->status == 502 || call->status == 504));
+    CHECK(fleet.Runs() == 1);
+  }
+}
+
+TEST_CASE("a repeated refusal doesn't hide the answer behind it") {
+  node_fleet fleet(1);
+  fleet.Start();
+  upstream_standin* const upstream = fleet.upstreams[0].get();
+  upstream->script = [upstream](
+                         const std::shared_ptr<stream::server_exchange>& c,
+                         const std::string& id) {
+    stream::message_head again;
+    again.status = 503;
+    again.headers = {{"X-Not-Executed", "1"}};
+    again.framing = stream::body_framing::kLength;
+    c->SendHead(again);
+    upstream->Answer(c, id, 200, "hello", {{"X-Response-Seal", "seal"}});
+  };
+  const auto call = fleet.Call(0, "POST", "/write/1", "x");
+  CHECK(call->status == 200);
+  CHECK(call->body == "hello");
+}
+
 TEST_CASE("large bodies are streamed in both directions") {
   node_fleet fleet(2);
   fleet.Start();
