--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -71,6 +71,16 @@
                                                  {"slots", "9"},
                                                  {"warmupLeftMs", "soon"},
                                                  {"warmupLeftMs", -1},
+                                                 {"warmupLeftMs", 1e300},
+                                                 {"warmupLeftMs", 1e15},
+                                                 {"slots", 1e300},
+                                                 {"sequence", -1},
+                                                 {"born", 1e300},
+                                                 {"address", ":8080"},
+                                                 {"address", "somewhere:80"},
+                                                 {"address", "10.0.0:80"},
+                                                 {"address", "10.0.0.9:-80"},
+                                                 {"address", "10.0.0.9:65536"},
                                                  {"born", 1.5},
                                                  {"born", "now"}};
   for (const auto& [field, value] : values) {
@@ -78,8 +88,18 @@
     wrong[field] = value;
     bad.push_back(wrong.dump());
   }
+  // Nested deeply, as the whole entry and as a field that isn't used.
+  constexpr std::size_t kDepth = 200'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  bad.push_back(nested);
+  bad.push_back(std::string(kDepth, '{'));
+  const std::string fields(kEntry, sizeof(kEntry) - 2);  // Without the brace.
+  bad.push_back(fields + ",\"other\":" + nested + "}");
+  bad.push_back(fields + ",\"other\":1e999}");
+  bad.push_back(fields + ",\"other\":-99999999999999999999999}");
   for (const std::string& entry : bad) {
-    CAPTURE(entry);
+    CAPTURE(entry.substr(0, 200));
     const auto meaning = Decode("servers/i-1", entry);
     const auto* reason = std::get_if<node::malformed_item>(&meaning);
     REQUIRE(reason != nullptr);
--- a/testing/unit/source_roles_test.cc
+++ b/testing/unit/source_roles_test.cc
@@ -233,6 +233,50 @@
   CHECK(fleet.Call(1, "GET", "/read/1")->status == 401);
 }
 
+// Guards against daemons that end, or that no longer follow the list, because
+// of one entry of another writer. Readers and followers both get it.
+TEST_CASE("odd entries end no daemon and hide no other entry") {
+  node_fleet fleet(5);
+  fleet.Start();
+  fleet.RunFor(kSettleTime);
+  constexpr std::size_t kDepth = 100'000;
+  const std::string bytes[] = {
+      "",
+      std::string("\xff\xfe\x00{", 4),
+      std::string(kDepth, '['),
+      std::string(kDepth, '[') + std::string(kDepth, ']'),
+      R"({"service":"ledger","address":"127.0.0.11:99999","zone":"z",
+          "version":"v1","slots":4,"state":"ready","sequence":1,"born":9})",
+      R"({"service":"ledger","address":"127.0.0.11:1","zone":"z",
+          "version":"v1","slots":1e300,"state":"ready","sequence":1})",
+      R"({"service":"ledger","address":"127.0.0.11:1","zone":"z",
+          "version":"v1","slots":4,"state":"ready","sequence":1e999})",
+      R"({"service":"ledger","address":"127.0.0.11:1","zone":"z",
+          "version":"v1","slots":4,"state":"ready","sequence":1,
+          "warmupLeftMs":1e300,"born":18446744073709551615})",
+  };
+  for (const std::string& value : bytes) {
+    fleet.store.Put("servers/odd", value);
+    fleet.store.Put("servers/odd-" + std::to_string(value.size()), value);
+    fleet.RunFor(milliseconds(100));
+  }
+  fleet.store.Remove("servers/i-4");
+  fleet.config["tenants"][0]["apiKeys"] = {"key-9"};
+  fleet.PutConfig("r2");
+  CHECK(TimeUntilAll(&fleet, 401) < seconds(2));
+  fleet.config["tenants"][0]["apiKeys"] = {"key-1"};
+  fleet.PutConfig("r3");
+  CHECK(TimeUntilAll(&fleet, 200) < seconds(2));
+  const int before = fleet.upstreams[4]->Runs();
+  for (int call = 0; call < 20; ++call) {
+    for (const auto& [i, daemon] : fleet.nodes) {
+      CHECK(fleet.Call(i, "GET", "/read/1")->status == 200);
+    }
+  }
+  CHECK(fleet.upstreams[4]->Runs() == before);
+  for (const auto& [i, daemon] : fleet.nodes) ReadsSource(&fleet, i);
+}
+
 std::vector<int> Readers(node_fleet* fleet) {
   std::vector<int> readers;
   for (const auto& [i, daemon] : fleet->nodes) {
