Test that an answer cut at any byte isn't complete

Told by other operators: an upstream that closed in the middle of its answer's head gave callers a 200 with a short body, framed as whole. Looked for here and not found: four answers (with a length, in chunks, after an interim answer, without a length), cut at each byte of head and body, are all reported as lost. An answer without a length is whole once its head is, as the platform's pages say.

--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -253,6 +253,30 @@
   }
 }
 
+// Guards against an answer that is cut in its head and passed on as whole.
+TEST_CASE("an answer that is cut anywhere is not complete") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 7\r\n";
+  const std::string answers[] = {
+      head + "Content-Length: 12\r\n\r\nhello, world",
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+      // Without a length, only the head shows a cut.
+      head + "\r\n",
+  };
+  const std::string lost =
+      "failed " + std::to_string(static_cast<int>(failure::kLost));
+  for (const std::string& answer : answers) {
+    for (std::size_t size = 0; size < answer.size(); ++size) {
+      const std::string bytes = answer.substr(0, size);
+      CAPTURE(bytes);
+      stream_fixture f;
+      raw_server upstream(f.net, bytes, true);
+      f.target = {"127.0.0.1", upstream.port};
+      CHECK(f.Get("/") == lost);
+    }
+  }
+}
+
 TEST_CASE("bytes behind a complete answer are used for no request") {
   stream_fixture f;
   raw_server upstream(f.net,
