Fetch a list of values where a list by revision doesn't fit

A daemon that lacks an item which its peers take for held could not apply their list, and while the source was away nothing else would repair its copy. Found by reading; callers would miss that upstream until its next change.

Change: after a list was rejected, the next one is asked for from the beginning. source_mirror_test shows that such a list is applied. Skipped answers are logged at info, so that a faulty upstream can't exceed the bound on log lines.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -380,7 +380,7 @@
       [this, id = call->caller_id](const stream::message_head& answer) {
         const upstream_answer facts = fleet_.dialect.ReadAnswer(answer);
         if (facts.id == id) return true;
-        net::Log(core::log_level::kWarning, "answer to another request skipped",
+        net::Log(core::log_level::kInfo, "answer to another request skipped",
                  {{"request", id},
                   {"answered", facts.id},
                   {"status", std::to_string(answer.status)}});
--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -128,8 +128,10 @@
   ++peer_rotation_;
   net::http_request request;
   request.target = fleet_.PeerEndpoint(peer);
-  request.path =
-      kPath + Query(area, NextForm(area, *progress), mirror_.Revision(area));
+  // A list that refers to items which this daemon lacks was rejected.
+  const bool needs_values = progress->needs_list && progress->failures > 0;
+  request.path = kPath + Query(area, NextForm(area, *progress),
+                               needs_values ? 0 : mirror_.Revision(area));
   request.timeout = kFetchTimeout;
   client_.Start(
       request,
--- a/testing/unit/source_mirror_test.cc
+++ b/testing/unit/source_mirror_test.cc
@@ -157,6 +157,28 @@
   CHECK(daemon.in_force.count("x") == 1);
 }
 
+// Guards against a copy that stays without an item which its peers take for
+// held.
+TEST_CASE("a list from the beginning brings items that were missed") {
+  const auto area = source_area::kUpstreams;
+  using form = source_mirror::export_form;
+  using result = source_mirror::import_result;
+  mirrored daemon;
+  mirrored peer;
+  daemon.Start({{Item("b", 6)}, false, 6});
+  peer.Start({{Item("a", 5), Item("b", 6)}, false, 6});
+  peer.source.AnswerWatch(area, source_page{{Item("c", 8)}, false, 8});
+  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kChanges)) ==
+        result::kDiffers);
+  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kList)) ==
+        result::kRejected);
+  CHECK(daemon.mirror.Revision(area) == 6);
+  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 0, form::kList)) ==
+        result::kApplied);
+  CHECK(daemon.mirror.Revision(area) == 8);
+  CHECK(daemon.in_force == peer.in_force);
+}
+
 // Guards against an upstream that is lost until its next change: the daemon
 // held it from a later page of a read, and the peer's list is older than that.
 TEST_CASE("a list that is older than an item doesn't remove it") {
