--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -255,7 +255,7 @@
 
 // Guards against an answer that is cut in its head and passed on as whole.
 TEST_CASE("an answer that is cut anywhere is not complete") {
-  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 7\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nId: 7\r\n";
   const std::string answers[] = {
       head + "Content-Length: 12\r\n\r\nhello, world",
       head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
