Bound what clients may hold: connections, descriptors, memory

Change: stream::client_budget accounts what each client of a listener holds and selects the connections that are closed to make room: closing ones, then those without a request in work (longest wait, or most bytes), then clients that don't read. Accepting pauses if none may be closed. Heads are limited by the configuration, trailers are dropped, bodies without a length are limited too. The settings tell memory and descriptors; the shares leave a reserve for links, upstream and source. Pages for operators are served within the same limits. Also: a full input buffer behind a paused parser no longer keeps the loop busy.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -89,8 +89,7 @@
   friend bool operator==(const tenant& a, const tenant& b);
 };
 
-// Limits on the requests and connections of callers. `header_bytes` isn't
-// enforced, and `body_bytes` only for requests that state a length.
+// Limits on the requests and connections of callers.
 struct caller_limits {
   std::uint64_t header_bytes = 64 * 1024;
   std::uint64_t body_bytes = 64 * 1024 * 1024;
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -59,9 +59,20 @@
   // Requests of one caller's connection that are passed on before the first of
   // them is answered.
   std::size_t max_pipelined = 8;
+  // Limits of the VM: memory of the process, and its descriptors. They bound
+  // what clients may hold open (`ClientLimitsFor`).
+  std::size_t memory_mb = 160;
+  std::size_t max_descriptors = 4096;
   core::log_level level = core::log_level::kInfo;
 };
 
+// What the clients of a listener may hold, as a share of the VM's limits.
+enum class listener_kind { kCallers, kPeers, kPages };
+stream::client_limits ClientLimitsFor(listener_kind kind,
+                                      const node_settings& settings);
+// Connections that a daemon may open to other daemons.
+std::size_t MaxLinks(const node_settings& settings);
+
 // ---------------------------------------------------------------------------
 // The adapter.
 
--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -34,6 +34,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "pimentohall/net.h"
@@ -67,6 +68,9 @@
   int keep_alive_s = 0;
 };
 
+// Memory that the head's target and headers take.
+std::size_t MemoryOf(const message_head& head);
+
 // Why a connection ended.
 enum class end_reason {
   // The peer closed the connection, not in the middle of a message, or
@@ -119,8 +123,16 @@
   // the server side (the answer is complete), an answer on the client side.
   void NextMessage();
 
+  // Limits the bytes of a message's target, header names and values; trailers
+  // count too, and their names and values are dropped. A longer message is
+  // malformed. 0: only http-parser's limit of 80 KB.
+  void SetMaxHeadBytes(std::size_t bytes);
+
   // Bytes that were accepted for sending but not yet written to the socket.
   std::size_t UnsentBytes() const;
+  // Memory of received bytes that aren't passed on: those not parsed yet, and
+  // the head that is being parsed.
+  std::size_t ReceivedBytes() const;
   // Bytes written to the socket since the last `ResetSentCount`.
   std::size_t SentBytes() const { return sent_bytes_; }
   void ResetSentCount() { sent_bytes_ = 0; }
@@ -143,6 +155,8 @@
   std::function<void(end_reason)> on_closed;
   // Called when `UnsentBytes` falls to zero.
   std::function<void()> on_drained;
+  // Called after received bytes were parsed, or some were sent.
+  std::function<void()> on_progress;
   // Client side: the peer permits to send the request's body.
   std::function<void()> on_continue;
   // Server side: the received bytes aren't HTTP/1.1. Nothing more is parsed;
@@ -158,6 +172,7 @@
   static void CountSent(evbuffer* output, const evbuffer_cb_info* info,
                         void* self);
   void Parse();
+  void PauseFullBuffer();
   void DropReceivedBytes();
   void CloseAndReport(end_reason reason);
 
@@ -172,6 +187,91 @@
   std::size_t sent_bytes_ = 0;
 };
 
+// ---------------------------------------------------------------------------
+// What the clients of a server may hold.
+
+// Bounds over all clients of one server.
+struct client_limits {
+  std::size_t connections = 0;              // 0: no limit.
+  std::size_t connections_per_address = 0;  // Of one IP address; 0: no limit.
+  std::size_t bytes = 0;                    // Held in memory; 0: no limit.
+  friend bool operator==(const client_limits& a, const client_limits& b);
+};
+
+// What a client's connection is used for at present.
+enum class client_phase {
+  kClosing,    // Everything is answered; waits for the client's close.
+  kWaiting,    // Between two requests, or within a request's head.
+  kReceiving,  // Part of a request was read; it isn't forwarded yet.
+  kInWork,     // A request is whole or forwarded, or its answer isn't sent.
+};
+
+// Accounts what each client of a server holds, and selects the clients whose
+// connections have to be closed when a limit is reached. No I/O.
+//
+// Clients with requests in work are closed last, and only if they don't read
+// their answers: otherwise the outcome of their requests would be lost.
+class client_budget {
+ public:
+  using client_id = const void*;
+
+  explicit client_budget(client_limits limits) : limits_(limits) {}
+
+  void Open(client_id client, const std::string& address, core::instant now);
+  void Close(client_id client);
+  void SetPhase(client_id client, client_phase phase, core::instant now);
+  // `held`: bytes received but not parsed, heads and bodies in memory, and
+  // bytes to be sent. `unsent`: the last of these.
+  void SetBytes(client_id client, std::size_t held, std::size_t unsent,
+                core::instant now);
+
+  std::size_t Connections() const { return clients_.size(); }
+  std::size_t Bytes() const { return bytes_; }
+  bool IsFull() const;
+  bool IsFullFor(const std::string& address) const;
+  bool IsOverBytes() const;
+  bool IsCrowded() const;  // Over half of the limit of bytes.
+
+  // The client to close so that another one can connect: one that is closing,
+  // or else waiting or receiving, or else in work and stalled; of these the one
+  // for which that has lasted longest. With an `address`, only of that address.
+  std::optional<client_id> SelectForConnection(const std::string& address,
+                                               core::instant now) const;
+  // The client to close while the bytes exceed their limit: the one that holds
+  // most and isn't in work, or else the stalled one that holds most.
+  std::optional<client_id> SelectForBytes(core::instant now) const;
+
+  // A client that has read nothing of its answers for this long is stalled.
+  static constexpr core::duration kStallTimeout = std::chrono::seconds(1);
+
+ private:
+  struct holding {
+    std::string address;
+    client_phase phase = client_phase::kWaiting;
+    core::instant since{};  // Start of the phase.
+    std::size_t bytes = 0;
+    std::size_t unsent = 0;
+    core::instant read_at{};  // When `unsent` last fell or was zero.
+  };
+  // The order in which clients are closed; the highest goes last. None: the
+  // client isn't closed.
+  static std::optional<int> CloseOrder(const holding& held, core::instant now);
+
+  client_limits limits_;
+  std::unordered_map<client_id, holding> clients_;
+  std::unordered_map<std::string, std::size_t> addresses_;
+  std::size_t bytes_ = 0;
+};
+
+// What a server did about its limits, since its start.
+struct client_counts {
+  std::uint64_t closed_for_connections = 0;
+  std::uint64_t closed_for_bytes = 0;
+  std::uint64_t closed_slow = 0;       // A head or a body took too long.
+  std::uint64_t refused_messages = 0;  // Malformed, or over a limit.
+  std::uint64_t accept_pauses = 0;
+};
+
 struct server_options {
   net::endpoint listen;
   // A connection without a request for this long is closed; 0: never.
@@ -183,6 +283,10 @@
   // Requests of one connection that are passed on before the first of them is
   // answered. Beyond it, at most 64 KB per connection are read ahead.
   std::size_t max_pipelined = 1;
+  // Names and values of a request's headers and trailers, and its target.
+  // Beyond it, the request is answered 431. 0: only http-parser's limit.
+  std::size_t max_head_bytes = 0;
+  client_limits clients{};
 };
 
 class server;
@@ -205,6 +309,11 @@
   void AcceptBody();
   // Stops or resumes reading the request's body, for back-pressure.
   void SetReading(bool on);
+  // Tells the server that the request is forwarded: its outcome would be lost
+  // if the connection were closed to make room.
+  void SetForwarded();
+  // Bytes of the request that the receiver keeps in memory.
+  void SetHeldBytes(std::size_t bytes);
   // Bytes of answers that aren't written to the socket yet: this answer's while
   // it is held, and then the connection's.
   std::size_t UnsentBytes() const;
@@ -243,6 +352,8 @@
   bool received_ = false;  // The whole request was received.
   bool answered_ = false;  // The answer has begun.
   bool finished_ = false;  // The answer is complete.
+  bool forwarded_ = false;
+  std::size_t held_request_bytes_ = 0;
   // The held answer.
   std::optional<message_head> held_head_;
   std::string held_data_;
@@ -267,7 +378,15 @@
   void Stop();
   // Changes the idle and head timeouts of all connections.
   void SetTimeouts(core::duration idle_timeout, core::duration head_timeout);
+  // Changes the limit of heads that are read from now on.
+  void SetMaxHeadBytes(std::size_t bytes);
   std::size_t Connections() const { return connections_.size(); }
+  // Bytes that all clients hold.
+  std::size_t ClientBytes() const { return budget_.Bytes(); }
+  // The clients hold more than the limit, or more than half of it.
+  bool IsOverLimit() const { return budget_.IsOverBytes(); }
+  bool IsCrowded() const { return budget_.IsCrowded(); }
+  const client_counts& Counts() const { return counts_; }
 
   // Called with a request's head. The receiver sets the exchange's handlers,
   // sends one answer and calls `FinishRequest`, or closes the connection.
@@ -291,10 +410,29 @@
     core::instant idle_since{};
     core::instant head_started{};   // When part of a head was seen; 0: none.
     core::instant closing_since{};  // Waits for the caller's close; 0: not.
+    // The first request is answered, but its body still arrives; 0: not.
+    core::instant draining_since{};
+    // When the client stopped to read what is sent to it; 0: it reads.
+    core::instant stalled_since{};
+    std::size_t sent_bytes = 0;  // At the last check.
+    bool IsIdle() const {
+      return pending.empty() && closing_since == core::instant{};
+    }
   };
   static void OnAccept(evconnlistener* listener, int socket, void* address,
                        int size, void* self);
+  static void OnAcceptError(evconnlistener* listener, void* self);
   void Accept(int socket);
+  // Closes a connection if the limits leave no room for one more. False: there
+  // is none that may be closed.
+  bool MakeRoom(const std::string& address);
+  // Accepts connections or leaves them to the kernel's queue.
+  void UpdateAccepting();
+  void OnHoldingsChanged(const server_exchange& call);
+  void UpdateHoldings(const client_state& client);
+  // Closes connections until the clients hold no more than the limit.
+  void ReclaimBytes();
+  void CloseNow(connection* conn);
   void InstallHandlers(client_state* client);
   client_state* FindClient(const server_exchange& call);
   void OnHead(client_state* client, message_head head);
@@ -309,14 +447,22 @@
   // Closes a connection without requests once its last answer is sent.
   void CloseAfterAnswer(client_state* client);
   void CloseUnusedIf(const std::function<bool(const client_state&)>& is_due);
+  static void UpdateTimes(connection* conn, client_state* client,
+                          core::instant now);
+  bool IsOverdue(const client_state& client, core::instant now) const;
   void CloseExpired();
 
   net::event_loop& loop_;
   server_options options_;
   evconnlistener* listener_ = nullptr;
   std::map<connection*, std::unique_ptr<client_state>> connections_;
+  client_budget budget_;
+  client_counts counts_;
+  bool accepting_ = true;
+  bool reclaim_posted_ = false;
   sigc::connection expiry_timer_;
   bool stopping_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 enum class failure {
@@ -380,6 +526,7 @@
   // this time.
   core::duration connect_timeout{0};
   int connections_per_target = 100;
+  std::size_t connections = 0;  // To all targets together; 0: no limit.
 };
 
 // Connections to servers, kept open between requests.
@@ -391,7 +538,7 @@
 
   // Starts a request. `is_own_answer` (may be empty) returns whether an
   // answer's head belongs to it; other answers are dropped with their bodies.
-  // Handlers are never called from inside `Start`. Null if the limit of
+  // Handlers are never called from inside `Start`. Null if a limit of
   // connections is reached.
   std::shared_ptr<exchange> Start(
       const net::endpoint& target, const message_head& head,
@@ -415,6 +562,9 @@
     std::size_t open = 0;  // Connections, idle or running.
   };
   std::shared_ptr<connection> TakeIdle(target_state* state);
+  // Closes an idle connection to another target if the limit requires it.
+  // False: there is none.
+  bool MakeRoom();
   void InstallHandlers(const std::shared_ptr<exchange>& call,
                        std::function<bool(const message_head&)> is_own_answer);
   void OnHead(exchange* call, message_head head,
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -18,6 +18,9 @@
 constexpr duration kConnectTimeout = milliseconds(300);
 constexpr duration kUpstreamSilenceTimeout = milliseconds(800);
 constexpr duration kUpstreamIdleTimeout = std::chrono::seconds(8);
+// Of links between daemons: longer than an ingress keeps an idle one.
+constexpr duration kLinkIdleTimeout = std::chrono::seconds(30);
+constexpr duration kLinkHeadTimeout = std::chrono::seconds(10);
 // Meant to stay below the upstream's own connection limit, which includes
 // probes and isn't consulted here.
 constexpr int kMaxConnectionsPerUpstream = 100;
@@ -43,7 +46,9 @@
 
 egress::egress(fleet_state& fleet)
     : fleet_(fleet),
-      server_(fleet.loop, fleet.timers, {fleet.settings.peers, {}, {}}),
+      server_(fleet.loop, fleet.timers,
+              {fleet.settings.peers, kLinkIdleTimeout, kLinkHeadTimeout, 1, 0,
+               ClientLimitsFor(listener_kind::kPeers, fleet.settings)}),
       pool_(fleet.loop, fleet.timers,
             {kUpstreamIdleTimeout, kUpstreamSilenceTimeout, kConnectTimeout,
              kMaxConnectionsPerUpstream}),
@@ -96,6 +101,8 @@
   new_call->aim_at = new_call->received + milliseconds(new_call->info.aim_ms);
   DropFleetHeaders(&head.headers);
   new_call->head = std::move(head);
+  new_call->head_bytes = stream::MemoryOf(new_call->head);
+  inbound->SetHeldBytes(new_call->head_bytes);
   calls_[new_call->id] = new_call;
   by_attempt_[new_call->info.attempt] = new_call->id;
   inbound->on_data = [this, new_call](std::string_view bytes) {
@@ -167,6 +174,7 @@
     return;
   }
   call->body.Append(bytes);
+  call->inbound->SetHeldBytes(call->head_bytes + call->body.Bytes().size());
   if (call->streams_body || !call->body.IsTooLarge()) return;
   call->streams_body = true;
   Enqueue(call);
@@ -273,6 +281,7 @@
     return;
   }
   call->queued = true;
+  call->inbound->SetForwarded();
   StartQueuedCalls();
 }
 
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -47,6 +47,7 @@
   bool IsIdle() const { return calls_.empty(); }
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const { return queue_.Size(); }
+  const stream::server& Server() const { return server_; }
 
   std::optional<mesh::load_news> Load() const;
   // Recent crash reports, to be sent to the other daemons.
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -32,7 +32,8 @@
     return;
   }
   call->inbound->SendData(bytes);
-  if (call->inbound->UnsentBytes() > kMaxUnsentBytes && call->exchange) {
+  if (call->inbound->UnsentBytes() > MaxUnsentBytes(server_.IsCrowded()) &&
+      call->exchange) {
     call->exchange->SetReading(false);
   }
 }
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -26,7 +26,8 @@
   instant received{};
   instant deadline{};
   instant aim_at{};
-  instant started{};  // Zero: not started.
+  instant started{};           // Zero: not started.
+  std::size_t head_bytes = 0;  // In memory.
   held_body body;
   bool body_complete = false;
   bool streams_body = false;  // Too large to be buffered whole.
--- a/src/node/held_body.h
+++ b/src/node/held_body.h
@@ -23,6 +23,11 @@
 inline constexpr std::size_t kMinBufferedRequestBytes = 64 * 1024;
 // Reading of a streamed body stops while more than this is still unsent.
 inline constexpr std::size_t kMaxUnsentBytes = 256 * 1024;
+// The same for answers while the clients of a listener hold much.
+inline constexpr std::size_t kMaxUnsentBytesCrowded = 32 * 1024;
+inline std::size_t MaxUnsentBytes(bool is_crowded) {
+  return is_crowded ? kMaxUnsentBytesCrowded : kMaxUnsentBytes;
+}
 // For bodies from this size on, the egress is asked whether it takes the call
 // before the body is sent.
 inline constexpr std::size_t kMinAskedBodyBytes = 16 * 1024;
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -23,6 +23,9 @@
 constexpr duration kLinkConnectTimeout = milliseconds(400);
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(20);
 constexpr int kMaxLinksPerPeer = 300;
+// Until the first configuration is in force.
+constexpr duration kIdleTimeoutAtStart = std::chrono::seconds(60);
+constexpr duration kHeadTimeoutAtStart = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -33,10 +36,12 @@
 ingress::ingress(fleet_state& fleet)
     : fleet_(fleet),
       server_(fleet.loop, fleet.timers,
-              {fleet.settings.callers, {}, {}, fleet.settings.max_pipelined}),
+              {fleet.settings.callers, kIdleTimeoutAtStart, kHeadTimeoutAtStart,
+               fleet.settings.max_pipelined, 0,
+               ClientLimitsFor(listener_kind::kCallers, fleet.settings)}),
       pool_(fleet.loop, fleet.timers,
             {kLinkIdleTimeout, kLinkSilenceTimeout, kLinkConnectTimeout,
-             kMaxLinksPerPeer}),
+             kMaxLinksPerPeer, MaxLinks(fleet.settings)}),
       attempt_queries_(fleet.loop, fleet.timers) {
   server_.on_request =
       [this](const std::shared_ptr<stream::server_exchange>& inbound,
@@ -56,6 +61,7 @@
 void ingress::OnConfiguration() {
   const mesh::caller_limits& limits = fleet_.config->Parts().limits;
   server_.SetTimeouts(limits.idle_timeout, limits.header_timeout);
+  server_.SetMaxHeadBytes(limits.header_bytes);
 }
 
 // ---------------------------------------------------------------------------
@@ -71,6 +77,8 @@
   new_call->deadline =
       new_call->received + request.budget.value_or(kDefaultBudget);
   new_call->head = std::move(head);
+  new_call->head_bytes = stream::MemoryOf(new_call->head);
+  inbound->SetHeldBytes(new_call->head_bytes);
   new_call->nested = request.key.empty() &&
                      inbound->PeerAddress() == fleet_.settings.callers.address;
   calls_[inbound.get()] = new_call;
@@ -127,6 +135,11 @@
 
 void ingress::OnBody(const call_ptr& call, std::string_view bytes) {
   if (call->finished) return;
+  call->received_bytes += bytes.size();
+  if (call->received_bytes > call->config->Parts().limits.body_bytes) {
+    EndOversized(call);
+    return;
+  }
   if (call->streams_body) {
     if (call->attempt == nullptr || call->body_withheld) {
       call->body.Append(bytes);
@@ -139,6 +152,7 @@
     return;
   }
   call->body.Append(bytes);
+  call->inbound->SetHeldBytes(call->head_bytes + call->body.Bytes().size());
   if (!call->body.IsTooLarge()) return;
   call->streams_body = true;
   // Stop reading until an attempt has taken the buffered part of the body.
@@ -156,7 +170,21 @@
   }
 }
 
+// The body of a request without a stated length exceeds the limit.
+void ingress::EndOversized(const call_ptr& call) {
+  if (call->streams_answer) {
+    Finish(call, 0, "daemon", core::reason::kOverloaded);
+    server_.Abort(call->inbound);
+    return;
+  }
+  Refuse(call, 413, core::reason::kOverloaded, {});
+}
+
 void ingress::Admit(const call_ptr& call) {
+  if (server_.IsOverLimit()) {
+    RefuseUnavailable(call, core::reason::kOverloaded);
+    return;
+  }
   // An earlier answer on the connection may close it. The caller then repeats
   // the requests behind that answer, so only idempotent ones may run by then.
   if (!call->route->idempotent && !call->inbound->IsFirst()) {
@@ -175,6 +203,7 @@
     }
     call->holds_token = true;
   }
+  call->inbound->SetForwarded();
   call->service = fleet_.splitter.Pick(*call->route);
   fleet_.retries.OnCall(call->service, now);
   if (call->nested && fleet_.repeats.OnNestedCall()) {
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -36,6 +36,7 @@
   void EndPendingCalls();
   std::size_t Pending() const { return calls_.size(); }
   std::size_t Connections() const { return server_.Connections(); }
+  const stream::server& Server() const { return server_; }
   // The daemon at this address restarted: the attempts it held are lost.
   void OnPeerRestarted(const std::string& address);
   void OnConfiguration();
@@ -51,6 +52,7 @@
   void OnBody(const call_ptr& call, std::string_view bytes);
   void OnBodyEnd(const call_ptr& call);
   void Admit(const call_ptr& call);
+  void EndOversized(const call_ptr& call);
   void StartNextAttempt(const call_ptr& call);
   std::vector<mesh::target_picker::candidate> Candidates(const call& call,
                                                          instant now) const;
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -75,7 +75,8 @@
     return;
   }
   call->inbound->SendData(bytes);
-  if (call->inbound->UnsentBytes() > kMaxUnsentBytes && call->attempt) {
+  if (call->inbound->UnsentBytes() > MaxUnsentBytes(server_.IsCrowded()) &&
+      call->attempt) {
     call->attempt->SetReading(false);
   }
 }
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -29,7 +29,9 @@
   const mesh::tenant* tenant = nullptr;  // Lives in `config`.
   std::string service;
   bool nested = false;
-  bool holds_token = false;  // Of the tenant's allotment.
+  bool holds_token = false;          // Of the tenant's allotment.
+  std::size_t head_bytes = 0;        // In memory.
+  std::uint64_t received_bytes = 0;  // Of the body.
   held_body body;
   bool body_complete = false;
   bool streams_body = false;  // Too large to be buffered; can't be sent again.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,6 +8,7 @@
 #include "node/fleet_state.h"
 #include "node/ingress.h"
 #include "node/news_service.h"
+#include "node/page_server.h"
 #include "node/peer_follower.h"
 #include "node/source_mirror.h"
 
@@ -25,6 +26,7 @@
 constexpr int kFarNewsPeriodFactor = 2;  // Far period in near periods.
 constexpr std::size_t kFarNewsBaseFleetSize = 50;
 constexpr duration kMaintenancePeriod = milliseconds(100);
+constexpr duration kClientLimitsLogPeriod = std::chrono::seconds(1);
 // In a planned stop, callers notice within this time that the daemon isn't
 // ready. Then it refuses new calls, closes its listeners, tells the other
 // daemons that it is stopping, and ends when it is idle or the grace time is
@@ -53,8 +55,10 @@
         mirror_(fleet_, *adapter_.reader),
         news_(fleet_),
         follower_(fleet_, mirror_),
-        ready_(loop, fleet_.settings.ready),
-        admin_(loop, fleet_.settings.admin) {
+        ready_(loop, timers, fleet_.settings.ready,
+               ClientLimitsFor(listener_kind::kPages, fleet_.settings)),
+        admin_(loop, timers, fleet_.settings.admin,
+               ClientLimitsFor(listener_kind::kPages, fleet_.settings)) {
     mirror_.on_item = [this](source_area area, const source_item& item,
                              duration expiry_grace) {
       OnItem(area, item, expiry_grace);
@@ -399,6 +403,7 @@
                                now);
     mirror_.UpdateRole();
     follower_.Check();
+    LogClientLimits(now);
   }
 
   bool IsReady() const { return fleet_.config != nullptr && !fleet_.stopping; }
@@ -439,16 +444,42 @@
   }
 
   void AddPages() {
-    ready_.AddPage(fleet_.settings.ready_path, [this](const net::page_query&) {
+    ready_.AddPage(fleet_.settings.ready_path, [this] {
       return IsReady() ? Page(200, "text/plain", "ready\n")
                        : Page(503, "text/plain", "not ready\n");
     });
-    admin_.AddPage("/metrics", [this](const net::page_query&) {
+    admin_.AddPage("/metrics", [this] {
       return Page(200, "text/plain; version=0.0.4", Metrics());
     });
-    admin_.AddPage("/state", [this](const net::page_query&) {
-      return Page(200, "application/json", State());
-    });
+    admin_.AddPage("/state",
+                   [this] { return Page(200, "application/json", State()); });
+  }
+
+  std::vector<std::pair<const char*, const stream::server*>> Listeners() const {
+    return {{"callers", &ingress_.Server()},
+            {"peers", &egress_.Server()},
+            {"ready", &ready_.Server()},
+            {"admin", &admin_.Server()}};
+  }
+
+  // Reports connections that were closed to make room, at most once a second
+  // and listener.
+  void LogClientLimits(instant now) {
+    if (now - client_limits_logged_at_ < kClientLimitsLogPeriod) return;
+    client_limits_logged_at_ = now;
+    for (const auto& [name, server] : Listeners()) {
+      const stream::client_counts& counts = server->Counts();
+      const std::uint64_t closed = counts.closed_for_connections +
+                                   counts.closed_for_bytes + counts.closed_slow;
+      std::uint64_t& logged = closed_clients_logged_[name];
+      if (closed == logged) continue;
+      net::Log(core::log_level::kWarning, "clients closed to make room",
+               {{"listener", name},
+                {"closed", std::to_string(closed - logged)},
+                {"connections", std::to_string(server->Connections())},
+                {"bytes", std::to_string(server->ClientBytes())}});
+      logged = closed;
+    }
   }
 
   std::string Metrics() {
@@ -464,6 +495,10 @@
     gauges.running = egress_.Running();
     gauges.queued = egress_.Queued();
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
+    for (const auto& [name, server] : Listeners()) {
+      fleet_.metrics.SetListener({name, server->Connections(),
+                                  server->ClientBytes(), server->Counts()});
+    }
     return fleet_.metrics.Render(gauges);
   }
 
@@ -526,8 +561,10 @@
   source_mirror mirror_;
   news_service news_;
   peer_follower follower_;
-  net::admin_server ready_;
-  net::admin_server admin_;
+  page_server ready_;
+  page_server admin_;
+  instant client_limits_logged_at_{};
+  std::map<std::string, std::uint64_t> closed_clients_logged_;
 };
 
 node::node(net::event_loop& loop, net::timer_service& timers,
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -28,6 +28,11 @@
               .Add({});
 }
 
+prometheus::Family<prometheus::Gauge>* node_metrics::Gauges(const char* name,
+                                                            const char* help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry_);
+}
+
 prometheus::Family<prometheus::Counter>* node_metrics::Counters(
     const char* name, const char* help) {
   return &prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
@@ -51,6 +56,12 @@
           Counters("pimentohall_news_bytes_total", "Bytes of news datagrams.")),
       dropped_lines_(Counters("pimentohall_dropped_log_lines_total",
                               "Log lines dropped for lack of room.")),
+      client_limits_(Counters("pimentohall_client_limits_total",
+                              "What a limit on clients did, by listener.")),
+      client_connections_(Gauges("pimentohall_client_connections",
+                                 "Open connections of clients.")),
+      client_bytes_(
+          Gauges("pimentohall_client_bytes", "Memory that clients hold.")),
       call_time_(Histograms("pimentohall_call_seconds",
                             "Time from a call's head to its answer.")),
       queue_wait_(Histograms("pimentohall_queue_wait_seconds",
@@ -109,6 +120,24 @@
   RaiseTo(&dropped_lines_->Add({}), static_cast<double>(total));
 }
 
+void node_metrics::SetListener(const listener_gauges& values) {
+  const std::string listener = values.name;
+  client_connections_->Add({{"listener", listener}})
+      .Set(static_cast<double>(values.connections));
+  client_bytes_->Add({{"listener", listener}})
+      .Set(static_cast<double>(values.bytes));
+  const std::pair<const char*, std::uint64_t> effects[] = {
+      {"closed_for_connections", values.counts.closed_for_connections},
+      {"closed_for_bytes", values.counts.closed_for_bytes},
+      {"closed_slow", values.counts.closed_slow},
+      {"refused_messages", values.counts.refused_messages},
+      {"accept_pauses", values.counts.accept_pauses}};
+  for (const auto& [effect, count] : effects) {
+    RaiseTo(&client_limits_->Add({{"listener", listener}, {"effect", effect}}),
+            static_cast<double>(count));
+  }
+}
+
 std::string node_metrics::Render(const gauges& values) {
   ready_->Set(values.ready ? 1 : 0);
   config_version_->Set(static_cast<double>(values.config_version));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "pimentohall/core.h"
+#include "pimentohall/stream.h"
 
 namespace pimentohall::node {
 
@@ -30,6 +31,15 @@
   void CountNews(bool sent, std::size_t bytes);
   void CountDroppedLogLines(std::uint64_t total);
 
+  // What the clients of a listener hold.
+  struct listener_gauges {
+    const char* name = "";
+    std::size_t connections = 0;
+    std::size_t bytes = 0;
+    stream::client_counts counts;
+  };
+  void SetListener(const listener_gauges& values);
+
   struct gauges {
     bool ready = false;
     std::uint64_t config_version = 0;
@@ -43,6 +53,8 @@
 
  private:
   prometheus::Gauge* Gauge(const char* name, const char* help);
+  prometheus::Family<prometheus::Gauge>* Gauges(const char* name,
+                                                const char* help);
   prometheus::Family<prometheus::Counter>* Counters(const char* name,
                                                     const char* help);
   prometheus::Family<prometheus::Histogram>* Histograms(const char* name,
@@ -55,6 +67,9 @@
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
   prometheus::Family<prometheus::Counter>* dropped_lines_;
+  prometheus::Family<prometheus::Counter>* client_limits_;
+  prometheus::Family<prometheus::Gauge>* client_connections_;
+  prometheus::Family<prometheus::Gauge>* client_bytes_;
   prometheus::Family<prometheus::Histogram>* call_time_;
   prometheus::Family<prometheus::Histogram>* queue_wait_;
   prometheus::Family<prometheus::Histogram>* upstream_time_;
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -91,6 +91,27 @@
   return nullptr;
 }
 
+bool client_pool::MakeRoom() {
+  if (options_.connections == 0) return true;
+  std::size_t open = 0;
+  target_state* oldest = nullptr;
+  for (auto& [key, state] : targets_) {
+    open += state.open;
+    if (state.idle.empty()) continue;
+    if (oldest == nullptr ||
+        state.idle.front().usable_until < oldest->idle.front().usable_until) {
+      oldest = &state;
+    }
+  }
+  if (open < options_.connections) return true;
+  if (oldest == nullptr) return false;
+  oldest->idle.front().conn->on_closed = nullptr;
+  oldest->idle.front().conn->Close();
+  oldest->idle.pop_front();
+  --oldest->open;
+  return true;
+}
+
 std::shared_ptr<exchange> client_pool::Start(
     const net::endpoint& target, const message_head& head,
     exchange_handlers handlers,
@@ -104,10 +125,9 @@
   call->conn_ = TakeIdle(&state);
   const bool reused = call->conn_ != nullptr;
   if (!reused) {
-    if (state.open >=
-        static_cast<std::size_t>(options_.connections_per_target)) {
-      return nullptr;
-    }
+    const bool target_is_full =
+        state.open >= static_cast<std::size_t>(options_.connections_per_target);
+    if (target_is_full || !MakeRoom()) return nullptr;
     call->conn_ =
         std::make_shared<connection>(loop_, connection::side::kClient, -1);
     ++state.open;
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -25,6 +25,10 @@
 // that, TCP flow control slows the peer down.
 constexpr std::size_t kMaxReadAheadBytes = 64 * 1024;
 constexpr std::size_t kMaxChunkHeadBytes = 20;
+// ": " and the line's end.
+constexpr std::size_t kHeaderSeparators = 4;
+// Of a header in a vector that may have grown to twice its size.
+constexpr std::size_t kHeaderMemory = 2 * sizeof(net::header);
 constexpr int kStatusContinue = 100;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusHeadTooLong = 431;
@@ -92,6 +96,14 @@
 
 }  // namespace
 
+std::size_t MemoryOf(const message_head& head) {
+  std::size_t bytes = head.target.size();
+  for (const auto& [name, value] : head.headers) {
+    bytes += kHeaderMemory + name.size() + value.size();
+  }
+  return bytes;
+}
+
 // Handlers are called through copies, since a handler may replace itself.
 namespace detail {
 
@@ -121,12 +133,15 @@
   }
   bool InMessage() const { return in_message_; }
   bool HeadTooLong() const {
-    return HTTP_PARSER_ERRNO(&state_) == HPE_HEADER_OVERFLOW;
+    return head_too_long_ || HTTP_PARSER_ERRNO(&state_) == HPE_HEADER_OVERFLOW;
   }
   void Resume() {
     if (IsPaused()) http_parser_pause(&state_, 0);
   }
   void SetAnswersHeadRequest(bool head) { answers_head_request_ = head; }
+  void SetMaxHeadBytes(std::size_t bytes) { max_head_bytes_ = bytes; }
+  // Memory of the head that is being parsed.
+  std::size_t HeadMemory() const { return head_memory_; }
 
  private:
   static parser* Self(http_parser* state) {
@@ -138,6 +153,7 @@
       http_parser_settings_init(&s);
       s.on_message_begin = [](http_parser* p) { return Self(p)->OnBegin(); };
       s.on_url = [](http_parser* p, const char* bytes, std::size_t n) {
+        if (!Self(p)->CountHead(n)) return -1;
         Self(p)->head_.target.append(bytes, n);
         return 0;
       };
@@ -145,9 +161,7 @@
         return Self(p)->OnName(bytes, n);
       };
       s.on_header_value = [](http_parser* p, const char* bytes, std::size_t n) {
-        Self(p)->in_value_ = true;
-        Self(p)->head_.headers.back().second.append(bytes, n);
-        return 0;
+        return Self(p)->OnValue(bytes, n);
       };
       s.on_headers_complete = [](http_parser* p) { return Self(p)->OnHead(); };
       s.on_body = [](http_parser* p, const char* bytes, std::size_t n) {
@@ -162,17 +176,41 @@
   int OnBegin() {
     in_message_ = true;
     in_value_ = true;
+    in_head_ = true;
+    head_bytes_ = 0;
+    head_memory_ = 0;
     head_ = message_head{};
     return 0;
   }
 
+  // Counts bytes of the head or the trailers; false if there are too many.
+  bool CountHead(std::size_t size) {
+    head_bytes_ += size;
+    if (in_head_) head_memory_ += size;
+    head_too_long_ = max_head_bytes_ > 0 && head_bytes_ > max_head_bytes_;
+    return !head_too_long_;
+  }
+
   int OnName(const char* bytes, std::size_t size) {
-    if (in_value_) head_.headers.emplace_back();
+    if (!CountHead(in_value_ ? size + kHeaderSeparators : size)) return -1;
+    const bool is_new = in_value_;
     in_value_ = false;
+    if (!in_head_) return 0;
+    if (is_new) {
+      head_.headers.emplace_back();
+      head_memory_ += kHeaderMemory;
+    }
     head_.headers.back().first.append(bytes, size);
     return 0;
   }
 
+  int OnValue(const char* bytes, std::size_t size) {
+    in_value_ = true;
+    if (!CountHead(size)) return -1;
+    if (in_head_) head_.headers.back().second.append(bytes, size);
+    return 0;
+  }
+
   // Returns what http-parser expects: 1 if no body follows.
   int OnHead() {
     state_.upgrade = 0;  // No protocol upgrade is supported.
@@ -209,6 +247,8 @@
         EqualsIgnoringCase(net::FindHeader(head_.headers, "Expect"),
                            "100-continue");
     DropConnectionHeaders(&head_.headers);
+    in_head_ = false;
+    head_memory_ = 0;
     if (const auto handler = owner_->on_head) handler(std::move(head_));
     if (!owner_->IsOpen()) return -1;
     return no_body ? 1 : 0;
@@ -233,6 +273,11 @@
   connection* const owner_;
   http_parser state_{};
   message_head head_;
+  std::size_t max_head_bytes_ = 0;  // 0: only http-parser's limit.
+  std::size_t head_bytes_ = 0;      // Of the head and the trailers.
+  std::size_t head_memory_ = 0;
+  bool head_too_long_ = false;
+  bool in_head_ = false;
   bool in_message_ = false;
   bool in_value_ = true;
   bool is_interim_ = false;
@@ -330,6 +375,11 @@
   bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
   evbuffer_remove_cb(bufferevent_get_output(stream), &connection::CountSent,
                      this);
+  // Closed here, as libevent frees a bufferevent with deferred callbacks only
+  // in the next turn of the loop: many ends in one turn would keep descriptors.
+  const int socket = bufferevent_getfd(stream);
+  bufferevent_setfd(stream, -1);
+  if (socket >= 0) evutil_closesocket(socket);
   bufferevent_free(stream);
   // Handlers often own the object that owns this connection.
   on_head = nullptr;
@@ -337,6 +387,7 @@
   on_end = nullptr;
   on_closed = nullptr;
   on_drained = nullptr;
+  on_progress = nullptr;
   on_continue = nullptr;
   on_bad_message = nullptr;
 }
@@ -398,6 +449,7 @@
 void connection::NextMessage() {
   if (stream_ == nullptr) return;
   parser_->Resume();
+  if (reading_) bufferevent_enable(stream_, EV_READ);
   if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
     bufferevent_trigger(stream_, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
   }
@@ -408,6 +460,16 @@
   return evbuffer_get_length(bufferevent_get_output(stream_));
 }
 
+std::size_t connection::ReceivedBytes() const {
+  if (stream_ == nullptr) return 0;
+  return evbuffer_get_length(bufferevent_get_input(stream_)) +
+         parser_->HeadMemory();
+}
+
+void connection::SetMaxHeadBytes(std::size_t bytes) {
+  parser_->SetMaxHeadBytes(bytes);
+}
+
 bool connection::IsInMessage() const { return parser_->InMessage(); }
 
 bool connection::IsQuiet() const {
@@ -439,6 +501,7 @@
 void connection::OnRead(bufferevent*, void* self) {
   const auto conn = static_cast<connection*>(self)->shared_from_this();
   conn->Parse();
+  if (const auto handler = conn->on_progress) handler();
 }
 
 void connection::Parse() {
@@ -467,6 +530,7 @@
     }
     evbuffer_drain(input, parsed);
   }
+  PauseFullBuffer();
   // On the client side, bytes that follow a complete answer are an error.
   if (stream_ != nullptr && side_ == side::kClient && parser_->IsPaused() &&
       evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
@@ -474,9 +538,19 @@
   }
 }
 
+// libevent reports a full buffer again and again, although nothing of it can be
+// parsed before the next message may be read.
+void connection::PauseFullBuffer() {
+  if (stream_ == nullptr || !parser_->IsPaused()) return;
+  evbuffer* input = bufferevent_get_input(stream_);
+  if (evbuffer_get_length(input) < kMaxReadAheadBytes) return;
+  bufferevent_disable(stream_, EV_READ);
+}
+
 void connection::OnWrite(bufferevent*, void* self) {
   const auto conn = static_cast<connection*>(self)->shared_from_this();
-  if (conn->UnsentBytes() > 0) return;
+  if (const auto handler = conn->on_progress) handler();
+  if (!conn->IsOpen() || conn->UnsentBytes() > 0) return;
   if (conn->close_when_sent_) {
     conn->close_when_sent_ = false;
     conn->CloseWhenSent();
--- a/src/stream/server.cc
+++ b/src/stream/server.cc
@@ -24,6 +24,17 @@
 constexpr auto kExpiryCheckPeriod = std::chrono::seconds(1);
 // How long a closing connection waits for the caller to close its side.
 constexpr auto kCloseTimeout = std::chrono::seconds(1);
+// How long the rest of a body is read after its request was answered, and how
+// long a client may leave its answers unread, if the server has no idle
+// timeout.
+constexpr auto kDrainTimeout = std::chrono::seconds(15);
+// Of a connection and its buffers, without the bytes in them.
+constexpr std::size_t kConnectionBytes = 4096;
+
+// The budget knows connections by their address.
+connection* ConnectionOf(client_budget::client_id client) {
+  return static_cast<connection*>(const_cast<void*>(client));
+}
 
 }  // namespace
 
@@ -47,6 +58,7 @@
   } else {
     held_data_.append(bytes);
   }
+  server_->OnHoldingsChanged(*this);
 }
 
 void server_exchange::SendEnd() {
@@ -77,6 +89,16 @@
   if (server_ != nullptr && !received_) conn_->SetReading(on);
 }
 
+void server_exchange::SetForwarded() {
+  forwarded_ = true;
+  if (server_ != nullptr) server_->OnHoldingsChanged(*this);
+}
+
+void server_exchange::SetHeldBytes(std::size_t bytes) {
+  held_request_bytes_ = bytes;
+  if (server_ != nullptr) server_->OnHoldingsChanged(*this);
+}
+
 std::size_t server_exchange::UnsentBytes() const {
   if (server_ == nullptr) return 0;
   return first_ ? conn_->UnsentBytes() : held_data_.size();
@@ -107,7 +129,7 @@
 
 server::server(net::event_loop& loop, net::timer_service& timers,
                server_options options)
-    : loop_(loop), options_(std::move(options)) {
+    : loop_(loop), options_(std::move(options)), budget_(options_.clients) {
   expiry_timer_ = timers.Every(kExpiryCheckPeriod,
                                sigc::slot<void()>([this] { CloseExpired(); }));
 }
@@ -132,9 +154,18 @@
       [](evconnlistener* listener, evutil_socket_t fd, sockaddr* address,
          int size, void* self) { OnAccept(listener, fd, address, size, self); },
       this, LEV_OPT_CLOSE_ON_FREE, 0, *socket);
+  evconnlistener_set_error_cb(listener_,
+                              [](evconnlistener* listener, void* self) {
+                                OnAcceptError(listener, self);
+                              });
   return net::BoundPort(*socket);
 }
 
+void server::SetMaxHeadBytes(std::size_t bytes) {
+  options_.max_head_bytes = bytes;
+  for (auto& [conn, client] : connections_) conn->SetMaxHeadBytes(bytes);
+}
+
 void server::SetTimeouts(core::duration idle_timeout,
                          core::duration head_timeout) {
   options_.idle_timeout = idle_timeout;
@@ -145,15 +176,121 @@
   static_cast<server*>(self)->Accept(socket);
 }
 
+// Without descriptors, accepting fails until one is free. The listener would
+// report the waiting connection again at once, so it pauses.
+void server::OnAcceptError(evconnlistener*, void* self) {
+  auto* const failed = static_cast<server*>(self);
+  ++failed->counts_.accept_pauses;
+  failed->accepting_ = false;
+  evconnlistener_disable(failed->listener_);
+  const auto chosen =
+      failed->budget_.SelectForConnection({}, failed->loop_.Now());
+  if (!chosen) return;
+  ++failed->counts_.closed_for_connections;
+  failed->CloseNow(ConnectionOf(*chosen));
+}
+
 void server::Accept(int socket) {
   auto client = std::make_unique<client_state>();
   client->conn =
       std::make_shared<connection>(loop_, connection::side::kServer, socket);
+  const std::string address = client->conn->PeerAddress();
+  if (!MakeRoom(address)) {
+    client->conn->Close();
+    return;
+  }
+  client->conn->SetMaxHeadBytes(options_.max_head_bytes);
   client->idle_since = loop_.Now();
   client_state* const raw_client = client.get();
+  budget_.Open(raw_client->conn.get(), address, loop_.Now());
   connections_[client->conn.get()] = std::move(client);
   InstallHandlers(raw_client);
   raw_client->conn->Open();
+  UpdateHoldings(*raw_client);
+  UpdateAccepting();
+}
+
+bool server::MakeRoom(const std::string& address) {
+  const core::instant now = loop_.Now();
+  const auto close_one = [this, now](const std::string& of) {
+    const auto chosen = budget_.SelectForConnection(of, now);
+    if (!chosen) return false;
+    ++counts_.closed_for_connections;
+    CloseNow(ConnectionOf(*chosen));
+    return true;
+  };
+  if (budget_.IsFullFor(address) && !close_one(address)) return false;
+  return !budget_.IsFull() || close_one({});
+}
+
+void server::UpdateAccepting() {
+  if (listener_ == nullptr) return;
+  const bool has_room =
+      !budget_.IsFull() ||
+      budget_.SelectForConnection({}, loop_.Now()).has_value();
+  if (has_room == accepting_) return;
+  accepting_ = has_room;
+  if (has_room) {
+    evconnlistener_enable(listener_);
+  } else {
+    ++counts_.accept_pauses;
+    evconnlistener_disable(listener_);
+  }
+}
+
+void server::OnHoldingsChanged(const server_exchange& call) {
+  const client_state* const client = FindClient(call);
+  if (client != nullptr) UpdateHoldings(*client);
+}
+
+void server::UpdateHoldings(const client_state& client) {
+  const core::instant now = loop_.Now();
+  std::size_t unsent = client.conn->UnsentBytes();
+  std::size_t requests = 0;
+  bool in_work = false;
+  for (const auto& call : client.pending) {
+    unsent += call->held_data_.size();
+    requests += call->held_request_bytes_;
+    in_work =
+        in_work || (!call->finished_ && (call->forwarded_ || call->received_));
+  }
+  client_phase phase = client_phase::kWaiting;
+  if (in_work || unsent > 0) {
+    phase = client_phase::kInWork;
+  } else if (client.closing_since != core::instant{}) {
+    phase = client_phase::kClosing;
+  } else if (!client.pending.empty()) {
+    phase = client_phase::kReceiving;
+  }
+  connection* const conn = client.conn.get();
+  budget_.SetPhase(conn, phase, now);
+  budget_.SetBytes(conn,
+                   kConnectionBytes + conn->ReceivedBytes() + unsent + requests,
+                   unsent, now);
+  if (!budget_.IsOverBytes() || reclaim_posted_) return;
+  // Later: this may run inside a handler of a connection that is to be closed.
+  reclaim_posted_ = true;
+  loop_.Post([this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired()) ReclaimBytes();
+  });
+}
+
+void server::ReclaimBytes() {
+  reclaim_posted_ = false;
+  while (budget_.IsOverBytes()) {
+    const auto chosen = budget_.SelectForBytes(loop_.Now());
+    if (!chosen) return;
+    ++counts_.closed_for_bytes;
+    CloseNow(ConnectionOf(*chosen));
+  }
+}
+
+void server::CloseNow(connection* conn) {
+  const auto found = connections_.find(conn);
+  if (found == connections_.end()) return;
+  const auto kept = found->second->conn;
+  kept->Close();
+  OnConnectionClosed(kept.get(), end_reason::kReset);
 }
 
 void server::InstallHandlers(client_state* client) {
@@ -174,6 +311,7 @@
   conn->on_bad_message = [this, client](int status) {
     OnBadMessage(client, status);
   };
+  conn->on_progress = [this, client] { UpdateHoldings(*client); };
   conn->on_closed = [this, conn](end_reason reason) {
     OnConnectionClosed(conn, reason);
   };
@@ -222,6 +360,7 @@
 }
 
 void server::OnBadMessage(client_state* client, int status) {
+  ++counts_.refused_messages;
   client->close_after = true;
   const auto conn = client->conn;
   if (!client->pending.empty() && !client->pending.back()->received_) {
@@ -313,12 +452,14 @@
   if (found == connections_.end()) return;
   const std::unique_ptr<client_state> client = std::move(found->second);
   connections_.erase(found);
+  budget_.Close(conn);
   for (const auto& call : client->pending) {
     const auto handler = call->on_closed;
     call->server_ = nullptr;
     call->ClearHandlers();
     if (handler) handler(reason);
   }
+  UpdateAccepting();
 }
 
 void server::CloseAfterAnswer(client_state* client) {
@@ -329,6 +470,7 @@
   conn->on_drained = nullptr;
   conn->on_bad_message = nullptr;
   client->closing_since = loop_.Now();
+  UpdateHoldings(*client);
   conn->CloseWhenSent();
 }
 
@@ -344,40 +486,63 @@
     const std::function<bool(const client_state&)>& is_due) {
   std::vector<client_state*> due;
   for (auto& [conn, c] : connections_) {
-    const bool is_idle =
-        c->pending.empty() && c->closing_since == core::instant{};
-    if (is_idle && conn->IsQuiet() && is_due(*c)) due.push_back(c.get());
+    if (c->IsIdle() && conn->IsQuiet() && is_due(*c)) due.push_back(c.get());
   }
   for (client_state* client : due) CloseAfterAnswer(client);
 }
 
-// Closes connections that were idle, took too long to send a head, or aren't
-// closed by their caller.
+void server::UpdateTimes(connection* conn, client_state* client,
+                         core::instant now) {
+  const auto update = [now](bool holds, core::instant* since) {
+    if (!holds) {
+      *since = core::instant{};
+    } else if (*since == core::instant{}) {
+      *since = now;
+    }
+  };
+  const auto& pending = client->pending;
+  update(pending.empty() && conn->IsInMessage(), &client->head_started);
+  update(!pending.empty() && pending.front()->finished_,
+         &client->draining_since);
+  update(conn->UnsentBytes() > 0 && conn->SentBytes() == client->sent_bytes,
+         &client->stalled_since);
+  client->sent_bytes = conn->SentBytes();
+}
+
+// Whether the connection has to be closed even if its client still sends.
+bool server::IsOverdue(const client_state& client, core::instant now) const {
+  const auto lasts = [now](core::instant since, core::duration longest) {
+    return since != core::instant{} && now - since > longest;
+  };
+  const bool has_idle_timeout = options_.idle_timeout.count() > 0;
+  const core::duration drain_timeout =
+      has_idle_timeout ? options_.idle_timeout : kDrainTimeout;
+  if (lasts(client.draining_since, drain_timeout)) return true;
+  if (lasts(client.stalled_since, drain_timeout)) return true;
+  if (has_idle_timeout && lasts(client.head_started, options_.head_timeout)) {
+    return true;
+  }
+  return client.conn->UnsentBytes() == 0 &&
+         lasts(client.closing_since, kCloseTimeout);
+}
+
+// Closes connections that were idle, took too long to send a head or the rest
+// of an answered request's body, don't read, or aren't closed by their caller.
 void server::CloseExpired() {
   const core::instant now = loop_.Now();
-  std::vector<std::shared_ptr<connection>> unclosed;
+  std::vector<connection*> overdue;
   for (auto& [conn, client] : connections_) {
-    const bool in_head = client->pending.empty() && conn->IsInMessage();
-    if (!in_head) {
-      client->head_started = core::instant{};
-    } else if (client->head_started == core::instant{}) {
-      client->head_started = now;
-    }
-    if (client->closing_since != core::instant{} &&
-        now - client->closing_since > kCloseTimeout &&
-        conn->UnsentBytes() == 0) {
-      unclosed.push_back(client->conn);
-    }
-  }
-  for (const auto& conn : unclosed) {
-    conn->Close();
-    OnConnectionClosed(conn.get(), end_reason::kClosed);
+    UpdateTimes(conn, client.get(), now);
+    if (!IsOverdue(*client, now)) continue;
+    overdue.push_back(conn);
+    if (client->closing_since == core::instant{}) ++counts_.closed_slow;
   }
+  for (connection* conn : overdue) CloseNow(conn);
+  ReclaimBytes();
+  UpdateAccepting();
   if (options_.idle_timeout.count() == 0) return;
   CloseUnusedIf([&](const client_state& client) {
-    const bool slow_head = client.head_started != core::instant{} &&
-                           now - client.head_started > options_.head_timeout;
-    return slow_head || now - client.idle_since > options_.idle_timeout;
+    return now - client.idle_since > options_.idle_timeout;
   });
 }
 
