Add library sched with the switches of overload control and cost routing

Cause: the coming decisions under overload need a place without I/O, a switch, and fields in the reports between daemons. Change: library sched, settings overload_control and cost_routing (auto: on where no tenant's rate limits the demand), optional pace and rank_limit in load reports; daemons of earlier versions ignore and omit them. Conclusion: nothing decides by them yet.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -39,6 +39,7 @@
 #include <vector>
 
 #include "pimentohall/core.h"
+#include "pimentohall/sched.h"
 
 namespace pimentohall::mesh {
 
@@ -127,6 +128,8 @@
   const tenant* FindTenant(std::string_view name) const;
   const tenant* FindTenantByKeyDigest(std::string_view digest) const;
   bool HasTenants() const { return !parts_.tenants.empty(); }
+  // Callers have tenants with limited rates, which bound the demand.
+  bool LimitsDemand() const;
 
  private:
   configuration_parts parts_;
@@ -212,6 +215,8 @@
 // ---------------------------------------------------------------------------
 // News between daemons.
 
+inline constexpr int kNoRankLimit = 1'000'000;
+
 // Load of an upstream as measured by the daemon on its VM.
 struct load_news {
   std::string upstream;
@@ -226,6 +231,11 @@
   // Duration of calls relative to what is expected for their routes; 1: as
   // expected. News round it to steps of 0.01.
   double slowness = 1;
+  // Duration of work on the upstream's machine at the moment, relative to what
+  // is usual there; 1: as usual, or unknown. News round it to steps of 0.01.
+  double pace = 1;
+  // Calls with a higher rank aren't taken at present.
+  int rank_limit = kNoRankLimit;
   friend bool operator==(const load_news& a, const load_news& b);
 };
 
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -63,6 +63,10 @@
   // what clients may hold open (`ClientLimitsFor`).
   std::size_t memory_mb = 160;
   std::size_t max_descriptors = 4096;
+  // Admission control and queue order for lasting overload.
+  sched::feature_mode overload_control = sched::feature_mode::kAuto;
+  // Choice of upstreams by the predicted cost of calls.
+  sched::feature_mode cost_routing = sched::feature_mode::kAuto;
   core::log_level level = core::log_level::kInfo;
 };
 
--- a/src/mesh/configuration.cc
+++ b/src/mesh/configuration.cc
@@ -181,4 +181,9 @@
   return split.parts[best].service;
 }
 
+bool configuration::LimitsDemand() const {
+  return std::any_of(parts_.tenants.begin(), parts_.tenants.end(),
+                     [](const tenant& each) { return each.rate_per_s > 0; });
+}
+
 }  // namespace pimentohall::mesh
--- a/src/mesh/news_codec.cc
+++ b/src/mesh/news_codec.cc
@@ -102,7 +102,9 @@
   if (!load) return nullptr;
   return json::array({load->upstream, load->running, load->queued, load->slots,
                       std::llround(load->backlog_ms),
-                      std::llround(load->slowness * kSlownessSteps)});
+                      std::llround(load->slowness * kSlownessSteps),
+                      std::llround(load->pace * kSlownessSteps),
+                      load->rank_limit});
 }
 
 load_news DecodeLoad(const json& fields) {
@@ -113,6 +115,11 @@
   load.slots = fields.at(3).get<int>();
   load.backlog_ms = fields.at(4).get<double>();
   load.slowness = fields.at(5).get<double>() / kSlownessSteps;
+  // Daemons of earlier versions don't send these.
+  constexpr std::size_t kFields = 8;
+  if (fields.size() < kFields) return load;
+  load.pace = fields.at(6).get<double>() / kSlownessSteps;
+  load.rank_limit = fields.at(7).get<int>();
   return load;
 }
 
@@ -154,7 +161,8 @@
 bool operator==(const load_news& a, const load_news& b) {
   return a.upstream == b.upstream && a.running == b.running &&
          a.queued == b.queued && a.slots == b.slots &&
-         a.backlog_ms == b.backlog_ms && a.slowness == b.slowness;
+         a.backlog_ms == b.backlog_ms && a.slowness == b.slowness &&
+         a.pace == b.pace && a.rank_limit == b.rank_limit;
 }
 bool operator==(const tenant_count& a, const tenant_count& b) {
   return a.tenant == b.tenant && a.admitted == b.admitted &&
--- a/src/node/call_header.cc
+++ b/src/node/call_header.cc
@@ -60,6 +60,12 @@
   read.load.slots = load.at(3).get<int>();
   read.load.backlog_ms = load.at(4).get<double>();
   read.load.slowness = load.at(5).get<double>() / kSlownessSteps;
+  // Daemons of earlier versions don't send these.
+  constexpr std::size_t kLoadFields = 8;
+  if (load.size() >= kLoadFields) {
+    read.load.pace = load.at(6).get<double>() / kSlownessSteps;
+    read.load.rank_limit = load.at(7).get<int>();
+  }
   return read;
 }
 
@@ -107,7 +113,9 @@
        outcome.retry_after_ms, outcome.took_ms, outcome.waited_ms,
        json::array({load.upstream, load.running, load.queued, load.slots,
                     std::llround(load.backlog_ms),
-                    std::llround(load.slowness * kSlownessSteps)})}));
+                    std::llround(load.slowness * kSlownessSteps),
+                    std::llround(load.pace * kSlownessSteps),
+                    load.rank_limit})}));
 }
 
 tl::expected<outcome_header, std::string> DecodeOutcome(std::string_view text) {
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -70,6 +70,15 @@
   // The repeats among the runs of this VM's upstream.
   mesh::repeat_ascriber repeats;
 
+  bool UsesOverloadControl() const {
+    return config &&
+           sched::IsEnabled(settings.overload_control, config->LimitsDemand());
+  }
+  bool UsesCostRouting() const {
+    return config &&
+           sched::IsEnabled(settings.cost_routing, config->LimitsDemand());
+  }
+
   // The availability zone of the VM with this address; empty: not known.
   std::string ZoneOf(const std::string& address) const {
     const auto found = zone_of_address.find(address);
