Limit interim answers to one request; play answers without end

Cause: an upstream that sends 1xx answers without end kept a slot until the call's deadline: with such calls in all slots (hostile_clients answer_interim_without_end, before this change) an ordinary request wasn't answered within 90 s. Change: more than 32 interim answers to a request end its connection as a bad answer.

--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -30,6 +30,9 @@
 // Of a header in a vector that may have grown to twice its size.
 constexpr std::size_t kHeaderMemory = 2 * sizeof(net::header);
 constexpr int kStatusContinue = 100;
+// Interim answers (1xx) to one request. Without a limit, a server could keep a
+// request open for ever.
+constexpr int kMaxInterimAnswers = 32;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusHeadTooLong = 431;
 
@@ -221,6 +224,7 @@
     } else {
       head_.status = state_.status_code;
       if (head_.status / 100 == 1) {
+        if (++interim_answers_ > kMaxInterimAnswers) return -1;
         is_interim_ = true;
         const auto handler = owner_->on_continue;
         if (head_.status == kStatusContinue && handler) handler();
@@ -265,6 +269,7 @@
       return 0;
     }
     in_message_ = false;
+    interim_answers_ = 0;
     http_parser_pause(&state_, 1);
     if (const auto handler = owner_->on_end) handler();
     return owner_->IsOpen() ? 0 : -1;
@@ -281,6 +286,7 @@
   bool in_message_ = false;
   bool in_value_ = true;
   bool is_interim_ = false;
+  int interim_answers_ = 0;
   bool answers_head_request_ = false;
 };
 
--- a/testing/hostile/main.cc
+++ b/testing/hostile/main.cc
@@ -58,8 +58,14 @@
   const char* name;
   listener at;
   client_plan plan;
+  // What the upstream answers to `kEndlessPath`: the opening once, and then the
+  // piece again and again.
+  std::string answer_opening{};
+  std::string answer_piece{};
 };
 
+constexpr char kEndlessPath[] = "/read/endless";
+
 std::string Repeat(std::string_view text, std::size_t times) {
   std::string repeated;
   repeated.reserve(text.size() * times);
@@ -85,6 +91,8 @@
   const std::string half_body =
       Post("/read/b", "Content-Length: 524288\r\nX-Deadline-Ms: 600000\r\n") +
       std::string(500000, 'b');
+  const std::string ask_endless =
+      Get(kEndlessPath, "X-Deadline-Ms: 60000\r\n\r\n");
   static const std::vector<hostile_case> kCases = {
       {"head_over_limit", listener::kCallers, {many_headers, ""}},
       {"head_without_end", listener::kCallers, {Get("/read/h"), tiny_headers}},
@@ -134,6 +142,26 @@
        listener::kCallers,
        {half_body, "", {}, true, milliseconds(200)}},
       {"not_http", listener::kCallers, {"", std::string(4096, '\x16')}},
+      {"answer_interim_without_end",
+       listener::kCallers,
+       {ask_endless, ""},
+       "",
+       Repeat("HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n", 256)},
+      {"answer_head_without_end",
+       listener::kCallers,
+       {ask_endless, ""},
+       "HTTP/1.1 200 OK\r\n",
+       tiny_headers},
+      {"answer_trailers_without_end",
+       listener::kCallers,
+       {ask_endless, ""},
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       tiny_headers},
+      {"answer_body_without_end",
+       listener::kCallers,
+       {ask_endless, "", {}, false},
+       "HTTP/1.1 200 OK\r\n\r\n",
+       std::string(16384, 'b')},
       {"peers_silent", listener::kPeers, {"", ""}},
       {"peers_head_over_limit", listener::kPeers, {many_headers, ""}},
       {"peers_half_bodies", listener::kPeers, {half_body, ""}},
@@ -174,6 +202,7 @@
 
   // Returns the exit code.
   int Run(const hostile_case& played) {
+    played_ = &played;
     folder_ = "/tmp/pimentohall-hostile-" + std::to_string(getpid());
     std::filesystem::create_directories(folder_);
     if (!SetUp() || !IsAnswered(kStartTime)) {
@@ -316,8 +345,22 @@
     store_.Put("servers/i-1", entry.dump());
   }
 
+  // Sends the bytes as they are.
+  void AnswerWithoutEnd(const std::shared_ptr<stream::server_exchange>& call) {
+    const auto send_piece = [this, raw = call->Connection().get()] {
+      raw->SendData(played_->answer_piece);
+    };
+    call->on_drained = send_piece;
+    call->Connection()->SendData(played_->answer_opening);
+    send_piece();
+  }
+
   void AnswerAsUpstream(const std::shared_ptr<stream::server_exchange>& call,
                         const stream::message_head& request) {
+    if (request.target == kEndlessPath) {
+      AnswerWithoutEnd(call);
+      return;
+    }
     const bool is_large = request.target == "/read/large";
     const std::string body =
         is_large ? std::string(kLargeAnswerBytes, 'l') : "hello";
@@ -388,6 +431,7 @@
 
   std::string programs_;
   std::string folder_;
+  const hostile_case* played_ = nullptr;
   net::event_loop loop_;
   net::timer_service timers_{loop_};
   store_standin store_;
