--- a/testing/unit/client_budget_test.cc
+++ b/testing/unit/client_budget_test.cc
@@ -31,10 +31,10 @@
     int for_connection;  // Index; -1: none.
     int for_bytes;
   };
-  const client_phase kClosing = client_phase::kClosing;
-  const client_phase kWaiting = client_phase::kWaiting;
-  const client_phase kReceiving = client_phase::kReceiving;
-  const client_phase kInWork = client_phase::kInWork;
+  constexpr client_phase kClosing = client_phase::kClosing;
+  constexpr client_phase kWaiting = client_phase::kWaiting;
+  constexpr client_phase kReceiving = client_phase::kReceiving;
+  constexpr client_phase kInWork = client_phase::kInWork;
   const row rows[] = {
       {"no client", {}, -1, -1},
       {"in work only", {{kInWork, 0, 900, 0}, {kInWork, 1, 10, 0}}, -1, -1},
