Order the queue by the calls that can end in time under overload control

Cause: the queue orders by earliest aim and lets late calls wait for a share of the slots, so under a lasting overload each call ends just before or after its aim, and refusals come late.

Change: work_queue has a table of orders (earliest aim as before, newest first when behind, largest set that can end in time, two classes). The egress uses kLargestSet where overload control is on, and reports a rank limit (sched::rank_limiter). sched gets the decisions for the ingress, not used there yet: admission_gate, return_pacer, budget_history.

Conclusion: the queue's order is in force at the egress; the ingress follows.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -215,7 +215,7 @@
 // ---------------------------------------------------------------------------
 // News between daemons.
 
-inline constexpr int kNoRankLimit = 1'000'000;
+inline constexpr int kNoRankLimit = sched::rank_limiter::kNone;
 
 // Load of an upstream as measured by the daemon on its VM.
 struct load_news {
@@ -612,6 +612,24 @@
   instant aim_at{};     // The answer has its full value until then.
   instant deadline{};   // The answer has no value after that.
   duration expected{0};  // Time that the call takes once started.
+  duration high{0};      // 80th percentile of that time; 0: not known.
+  // Calls of one group (a tenant's calls on a route) are served alike.
+  std::uint64_t group = 0;
+};
+
+// Which of the calls in a queue go first, and which are admitted.
+enum class queue_order {
+  // The order without overload control; see `work_queue`.
+  kEarliestAim,
+  // As `kTwoClasses`, but the newest call first while calls in time take nearly
+  // all slots.
+  kNewestFirst,
+  // The largest set of calls that can all end in time, by earliest aim. Where
+  // not all can, the highest rank leaves the set first, then the longest call.
+  kLargestSet,
+  // Calls in time by rank, then by earliest aim; late ones only where a slot is
+  // free.
+  kTwoClasses,
 };
 
 // Why a call isn't queued, and when to retry it.
@@ -631,6 +649,14 @@
   // Calls beyond this are refused at once.
   static constexpr std::size_t kMaxWaiting = 512;
 
+  // Takes effect from the next call on; queued calls stay.
+  void SetOrder(queue_order order) { order_ = order; }
+  // The highest rank that is taken at present (`sched::rank_limiter`);
+  // `kNoRankLimit` with `kEarliestAim`. To be called several times a second.
+  int UpdateRankLimit(int slots, duration running, instant now);
+  int RankLimit() const {
+    return order_ == queue_order::kEarliestAim ? kNoRankLimit : ranks_.Limit();
+  }
   // Whether `Push` would refuse the call now; nothing is queued.
   tl::expected<void, work_refusal> Check(const work_item& item, int slots,
                                          duration running, instant now) const;
@@ -640,7 +666,8 @@
   tl::expected<void, work_refusal> Push(const work_item& item, int slots,
                                         duration running, instant now);
   // Removes and returns the call to start now; none if the queue is empty.
-  std::optional<work_item> Pop(instant now);
+  // `running`: expected remaining time of the running calls.
+  std::optional<work_item> Pop(instant now, duration running = duration{0});
   bool Remove(std::uint64_t id);
   // Removes and returns calls that can no longer end before their deadline.
   std::vector<work_item> Expire(instant now);
@@ -662,15 +689,30 @@
 
  private:
   enum class admission { kInTime, kLate };
+  // A waiting call at its place in the order of starts.
+  struct place {
+    const work_item* item;
+    bool owed;  // By the floor of its group.
+    bool late;
+  };
   tl::expected<admission, work_refusal> Judge(const work_item& item, int slots,
                                               duration running,
                                               instant now) const;
-  duration WorkBefore(const work_item& item, instant now) const;
+  // The queued calls, and `added` unless null, in the order of their starts.
+  std::vector<place> Plan(const work_item* added, int slots, duration running,
+                          instant now) const;
+  void DisplaceLate(std::vector<place>* plan, int slots, duration running,
+                    instant now) const;
   double OnTimeShare(int slots, instant now) const;
+  double LateShare(int slots, instant now) const;
   void RecordOnTime(const work_item& item, instant now);
 
+  queue_order order_ = queue_order::kEarliestAim;
   std::vector<work_item> items_;  // In order of arrival.
   int starts_ = 0;
+  int slots_ = 1;  // As of the last `Push`.
+  sched::service_floor floor_;
+  sched::rank_limiter ranks_;
   // Expected time of the calls queued as in time, in seconds of slot time;
   // decays from `on_time_at_`.
   double on_time_work_s_ = 0;
--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,15 +1,50 @@
-// load_patterns [SEEDS]: prints a table of every load pattern, the mean over
-// the seeds 1 to SEEDS (default 5).
+// load_patterns [SEEDS [OPTIONS]]: prints a table of every load pattern, the
+// mean over the seeds 1 to SEEDS (default 5).
+//
+// OPTIONS is a comma-separated list: a queue order (aim, newest, set, classes),
+// and the parts of overload control that are used (retries, gate, pacer); "on":
+// all as with the setting overload_control. Default: none.
 
 #include <cstdio>
 #include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <sstream>
 
 #include "load_model/model.h"
 
 namespace pimentohall::testing {
 namespace {
 
-void PrintPattern(const load_pattern& pattern, int seeds) {
+// None if the text names an unknown option.
+std::optional<load_options> ParseOptions(const std::string& text) {
+  static const std::map<std::string, mesh::queue_order> kOrders = {
+      {"aim", mesh::queue_order::kEarliestAim},
+      {"newest", mesh::queue_order::kNewestFirst},
+      {"set", mesh::queue_order::kLargestSet},
+      {"classes", mesh::queue_order::kTwoClasses}};
+  static const std::map<std::string, bool load_options::*> kParts = {
+      {"retries", &load_options::aims_of_retries},
+      {"gate", &load_options::gate},
+      {"pacer", &load_options::pacer}};
+  load_options options;
+  std::istringstream words(text);
+  for (std::string word; std::getline(words, word, ',');) {
+    if (word == "on") {
+      options = OverloadControl();
+    } else if (kOrders.count(word) != 0) {
+      options.order = kOrders.at(word);
+    } else if (kParts.count(word) != 0) {
+      options.*kParts.at(word) = true;
+    } else {
+      return std::nullopt;
+    }
+  }
+  return options;
+}
+
+void PrintPattern(const load_pattern& pattern, int seeds,
+                  const load_options& options) {
   double worth = 0;
   double served = 0;
   double worst = 0;
@@ -18,7 +53,7 @@
   std::map<std::string, class_result> sums;
   for (int seed = 1; seed <= seeds; ++seed) {
     const load_result result =
-        RunLoad(pattern, static_cast<std::uint64_t>(seed));
+        RunLoad(pattern, static_cast<std::uint64_t>(seed), options);
     worth += result.worth / seeds;
     served += result.served / seeds;
     worst += result.worst_window / seeds;
@@ -51,10 +86,16 @@
 
 int main(int argc, char** argv) {
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
+  const auto options =
+      pimentohall::testing::ParseOptions(argc > 2 ? argv[2] : "");
+  if (!options) {
+    std::cerr << "unknown option in " << argv[2] << "\n";
+    return 2;
+  }
   std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
               "worst", "wait ms", "in vain", "in aim + late, by kind");
   for (const auto& pattern : pimentohall::testing::AllPatterns()) {
-    pimentohall::testing::PrintPattern(pattern, seeds);
+    pimentohall::testing::PrintPattern(pattern, seeds, *options);
   }
   return 0;
 }
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -36,22 +36,75 @@
 // A call counts as in time if this multiple of its expected time fits its aim.
 // Durations vary: a call whose mean just fits mostly misses its aim.
 constexpr double kAimMargin = 1.5;
+// The high estimate of a call's time, relative to the expected time, where it
+// isn't known: the 80th percentile of usual distributions of work.
+constexpr double kHighFactor = 1.6;
+// Share of the slots that calls in time take when the newest go first.
+constexpr double kBehindShare = 0.9;
+
+duration HighEstimate(const work_item& item) {
+  return item.high.count() > 0 ? item.high : Scale(item.expected, kHighFactor);
+}
 
 // A refused nested call fails the call that made it, whose work is then lost,
 // so a nested call is in time up to its deadline.
-bool IsInTime(const work_item& item, instant start) {
+bool IsInTimeByMargin(const work_item& item, instant start) {
   if (item.nested) return start + item.expected <= item.deadline;
   return start + Scale(item.expected, kAimMargin) <= item.aim_at;
 }
 
-// Sort key of a waiting call at `now`; the smallest goes first.
-auto OrderKey(const work_item& item, instant now) {
-  const bool late = !IsInTime(item, now);
-  return std::make_tuple(late, !item.nested, item.rank,
-                         late || item.nested ? item.deadline : item.aim_at,
-                         item.id);
+bool IsInTimeByHigh(const work_item& item, instant start) {
+  if (item.nested) return start + item.expected <= item.deadline;
+  return start + HighEstimate(item) <= item.aim_at;
+}
+
+// Sort key of a waiting call; the smallest goes first.
+using order_key = std::tuple<bool, bool, bool, int, instant, std::int64_t>;
+
+order_key ByRank(const work_item& item, bool owed, bool late, bool) {
+  const instant end = late || item.nested ? item.deadline : item.aim_at;
+  return {late && !owed, !item.nested, !owed,
+          item.rank,     end,          static_cast<std::int64_t>(item.id)};
+}
+
+order_key ByAim(const work_item& item, bool owed, bool late, bool behind) {
+  order_key key = ByRank(item, owed, late, behind);
+  if (!late) std::get<3>(key) = 0;
+  return key;
 }
 
+order_key ByNewestWhenBehind(const work_item& item, bool owed, bool late,
+                             bool behind) {
+  order_key key = ByRank(item, owed, late, behind);
+  if (!behind || item.nested) return key;
+  std::get<4>(key) = instant{};
+  std::get<5>(key) = -static_cast<std::int64_t>(item.id);
+  return key;
+}
+
+struct order_rules {
+  bool (*is_in_time)(const work_item&, instant start);
+  order_key (*key)(const work_item&, bool owed, bool late, bool behind);
+  bool keeps_feasible_set;
+  // Late calls wait for the share of the slots that calls in time leave free.
+  // If not, they are refused unless a slot is free.
+  bool queues_late;
+  bool has_floor;  // By group, in place of `kOldestFirstInterval`.
+};
+
+const order_rules& RulesOf(queue_order order) {
+  static constexpr order_rules kRules[] = {
+      {IsInTimeByMargin, ByRank, false, true, false},
+      {IsInTimeByHigh, ByNewestWhenBehind, false, false, true},
+      {IsInTimeByHigh, ByAim, true, false, true},
+      {IsInTimeByHigh, ByRank, false, false, true},
+  };
+  return kRules[static_cast<int>(order)];
+}
+
+// Nested calls go before all others, whatever their rank.
+int DemandRank(const work_item& item) { return item.nested ? -1 : item.rank; }
+
 }  // namespace
 
 duration work_queue::Work() const {
@@ -60,14 +113,63 @@
   return work;
 }
 
-// Expected time of the calls that would start before `item`.
-duration work_queue::WorkBefore(const work_item& item, instant now) const {
-  const auto key = OrderKey(item, now);
-  duration work{0};
-  for (const work_item& other : items_) {
-    if (OrderKey(other, now) < key) work += other.expected;
+std::vector<work_queue::place> work_queue::Plan(const work_item* added,
+                                                int slots, duration running,
+                                                instant now) const {
+  const order_rules& rules = RulesOf(order_);
+  const bool behind = OnTimeShare(slots, now) > kBehindShare;
+  std::vector<std::pair<order_key, place>> keyed;
+  keyed.reserve(items_.size() + 1);
+  const auto add = [&](const work_item& item) {
+    const bool owed =
+        rules.has_floor && !item.nested && floor_.IsOwed(item.group);
+    const bool late = !rules.is_in_time(item, now);
+    keyed.emplace_back(rules.key(item, owed, late, behind),
+                       place{&item, owed, late});
+  };
+  for (const work_item& item : items_) add(item);
+  if (added != nullptr) add(*added);
+  std::sort(keyed.begin(), keyed.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<place> plan;
+  plan.reserve(keyed.size());
+  for (const auto& [key, at] : keyed) plan.push_back(at);
+  if (rules.keeps_feasible_set) DisplaceLate(&plan, slots, running, now);
+  return plan;
+}
+
+// Moves calls behind all others, as late, until the rest can end in time
+// (Moore's and Hodgson's rule, extended by ranks). Nested and owed calls stay.
+void work_queue::DisplaceLate(std::vector<place>* plan, int slots,
+                              duration running, instant now) const {
+  const order_rules& rules = RulesOf(order_);
+  const auto goes_later = [](const place& a, const place& b) {
+    return std::make_tuple(a.item->rank, a.item->expected, a.item->aim_at,
+                           a.item->id) <
+           std::make_tuple(b.item->rank, b.item->expected, b.item->aim_at,
+                           b.item->id);
+  };
+  std::vector<place> kept;
+  std::vector<place> displaced;
+  duration work = running;
+  for (const place& each : *plan) {
+    kept.push_back(each);
+    work += each.item->expected;
+    if (each.late || each.owed || each.item->nested) continue;
+    const instant start = now + Scale(work - each.item->expected, 1.0 / slots);
+    if (rules.is_in_time(*each.item, start)) continue;
+    auto last = kept.end();
+    for (auto at = kept.begin(); at != kept.end(); ++at) {
+      if (at->late || at->owed || at->item->nested) continue;
+      if (last == kept.end() || goes_later(*last, *at)) last = at;
+    }
+    work -= last->item->expected;
+    displaced.push_back(*last);
+    displaced.back().late = true;
+    kept.erase(last);
   }
-  return work;
+  kept.insert(kept.end(), displaced.begin(), displaced.end());
+  *plan = std::move(kept);
 }
 
 // Share of the slots that calls in time took recently.
@@ -76,12 +178,21 @@
   return on_time_work_s_ * decay / (kOnTimeWindowS * slots);
 }
 
+double work_queue::LateShare(int slots, instant now) const {
+  return std::max(kMinLateShare, 1 - OnTimeShare(slots, now));
+}
+
 void work_queue::RecordOnTime(const work_item& item, instant now) {
   const double decay = std::exp(-Seconds(now - on_time_at_) / kOnTimeWindowS);
   on_time_work_s_ = on_time_work_s_ * decay + Seconds(item.expected);
   on_time_at_ = now;
 }
 
+int work_queue::UpdateRankLimit(int slots, duration running, instant now) {
+  if (order_ == queue_order::kEarliestAim) return kNoRankLimit;
+  return ranks_.Update(slots, Scale(Work() + running, 1.0 / slots), now);
+}
+
 tl::expected<work_queue::admission, work_refusal> work_queue::Judge(
     const work_item& item, int slots, duration running, instant now) const {
   const duration full_wait = Scale(Work() + running, 1.0 / slots);
@@ -97,11 +208,21 @@
     refusal.why = core::reason::kDeadline;
     return tl::unexpected(refusal);
   }
-  duration wait = Scale(WorkBefore(item, now) + running, 1.0 / slots);
-  if (IsInTime(item, now + wait)) return admission::kInTime;
-  const double late_share =
-      std::max(kMinLateShare, 1 - OnTimeShare(slots, now));
-  wait = Scale(full_wait, 1 / late_share);
+  duration before = running;
+  bool owed = false;
+  for (const place& each : Plan(&item, slots, running, now)) {
+    owed = each.owed;
+    if (each.item == &item) break;
+    before += each.item->expected;
+  }
+  duration wait = Scale(before, 1.0 / slots);
+  if (RulesOf(order_).is_in_time(item, now + wait)) return admission::kInTime;
+  if (!owed && !RulesOf(order_).queues_late) {
+    const bool has_free_slot = running.count() == 0 && items_.empty();
+    if (!has_free_slot) return tl::unexpected(refusal);
+  } else if (!owed) {
+    wait = Scale(full_wait, 1 / LateShare(slots, now));
+  }
   if (now + wait + item.expected > item.deadline) {
     return tl::unexpected(refusal);
   }
@@ -119,6 +240,13 @@
 tl::expected<void, work_refusal> work_queue::Push(const work_item& item,
                                                   int slots, duration running,
                                                   instant now) {
+  slots_ = slots;
+  if (RulesOf(order_).has_floor) {
+    if (!item.nested) {
+      floor_.OnOffered(item.group, ranks_.WeightOf(item.rank), now);
+    }
+    ranks_.OnOffered(DemandRank(item), item.expected, now);
+  }
   const auto judged = Judge(item, slots, running, now);
   if (!judged) return tl::unexpected(judged.error());
   if (*judged == admission::kInTime) RecordOnTime(item, now);
@@ -126,18 +254,19 @@
   return {};
 }
 
-std::optional<work_item> work_queue::Pop(instant now) {
+std::optional<work_item> work_queue::Pop(instant now, duration running) {
   if (items_.empty()) return std::nullopt;
   ++starts_;
+  const bool has_floor = RulesOf(order_).has_floor;
   auto next = items_.begin();
-  if (starts_ % kOldestFirstInterval != 0) {
-    next = std::min_element(items_.begin(), items_.end(),
-                            [now](const work_item& a, const work_item& b) {
-                              return OrderKey(a, now) < OrderKey(b, now);
-                            });
+  if (has_floor || starts_ % kOldestFirstInterval != 0) {
+    const work_item* const first =
+        Plan(nullptr, slots_, running, now).front().item;
+    next += first - items_.data();
   }
   work_item item = *next;
   items_.erase(next);
+  if (has_floor && !item.nested) floor_.OnServed(item.group, now);
   return item;
 }
 
@@ -165,27 +294,24 @@
 
 std::vector<work_item> work_queue::DropOvertaken(int slots, duration running,
                                                  instant now) {
-  const double late_share =
-      std::max(kMinLateShare, 1 - OnTimeShare(slots, now));
-  const auto is_overtaken = [&](const work_item& item, duration work) {
+  const double late_share = LateShare(slots, now);
+  const auto is_overtaken = [&](const place& at, duration work) {
+    const work_item& item = *at.item;
     const duration wait = Scale(work, 1.0 / slots);
-    if (IsInTime(item, now + wait)) return false;
+    if (RulesOf(order_).is_in_time(item, now + wait)) return false;
+    if (!at.owed && !RulesOf(order_).queues_late) return true;
     const duration min_time = Scale(item.expected, kMinTimeShare);
-    return now + Scale(wait, kOvertakenShare / late_share) + min_time >
+    const double share = at.owed ? 1 : late_share;
+    return now + Scale(wait, kOvertakenShare / share) + min_time >
            item.deadline;
   };
-  std::vector<work_item> ordered = items_;
-  std::sort(ordered.begin(), ordered.end(),
-            [now](const work_item& a, const work_item& b) {
-              return OrderKey(a, now) < OrderKey(b, now);
-            });
   std::vector<work_item> overtaken;
   duration work = running;  // Starts before the next call.
-  for (const work_item& item : ordered) {
-    if (is_overtaken(item, work)) {
-      overtaken.push_back(item);
+  for (const place& each : Plan(nullptr, slots, running, now)) {
+    if (is_overtaken(each, work)) {
+      overtaken.push_back(*each.item);
     } else {
-      work += item.expected;
+      work += each.item->expected;
     }
   }
   for (const work_item& item : overtaken) Remove(item.id);
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -99,6 +99,9 @@
   new_call->deadline =
       new_call->received + milliseconds(new_call->info.budget_ms);
   new_call->aim_at = new_call->received + milliseconds(new_call->info.aim_ms);
+  new_call->group = XXH64(
+      new_call->info.route.data(), new_call->info.route.size(),
+      XXH64(new_call->info.tenant.data(), new_call->info.tenant.size(), 0));
   DropFleetHeaders(&head.headers);
   new_call->head = std::move(head);
   new_call->head_bytes = stream::MemoryOf(new_call->head);
@@ -235,6 +238,7 @@
   item.aim_at = call.aim_at;
   item.deadline = std::min(call.deadline, fleet_.stop_ends_at) - kAnswerMargin;
   item.expected = ExpectedTime(call.info);
+  item.group = call.group;
   return item;
 }
 
@@ -301,7 +305,8 @@
   while (queue_.Size() > 0 &&
          static_cast<int>(running_.size()) < upstream_->slots) {
     if (!gate_.Take(now)) break;
-    const auto next = queue_.Pop(now);
+    const auto next =
+        queue_.Pop(now, controls_overload_ ? RunningWork(now) : duration{0});
     const call_ptr call = calls_.at(next->id);
     if (upstream_->id != call->info.upstream) {
       Refuse(call, core::reason::kUnknownUpstream, kIngressRetryAfter);
@@ -316,9 +321,16 @@
     const call_ptr call = calls_.at(item.id);
     Refuse(call, core::reason::kDeadline, kIngressRetryAfter);
   }
+  if (controls_overload_) RefuseOvertaken();
   ScheduleWake();
 }
 
+void egress::SetQueueOrder() {
+  controls_overload_ = fleet_.UsesOverloadControl();
+  queue_.SetOrder(controls_overload_ ? mesh::queue_order::kLargestSet
+                                     : mesh::queue_order::kEarliestAim);
+}
+
 void egress::RefuseQueued() {
   for (const mesh::work_item& item : queue_.Clear()) {
     // A copy of the pointer: ending the call removes the one in the table.
@@ -458,6 +470,9 @@
   ExpireCrashNews(now);
   EndOverdueCalls(now);
   RefuseOvertaken();
+  if (controls_overload_ && upstream_) {
+    queue_.UpdateRankLimit(upstream_->slots, RunningWork(now), now);
+  }
   const bool should_probe = state_ != upstream_state::kUp;
   if (should_probe && now - probed_at_ >= kDownProbePeriod) Probe();
 }
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -107,6 +107,8 @@
   void OnHealth(const health_answer& health);
   void SetCold(duration left);
   void ScheduleWake();
+  // The order of the queue, by the settings and the configuration in force.
+  void SetQueueOrder();
   // Refuses queued calls that can no longer start in time.
   void RefuseOvertaken();
   void EndOverdueCalls(instant now);
@@ -128,6 +130,7 @@
   std::unordered_map<std::string, std::uint64_t> by_attempt_;
   mesh::attempt_register attempts_;
   mesh::work_queue queue_;
+  bool controls_overload_ = false;  // As of the last `SetQueueOrder`.
   mesh::warmup_gate gate_;
   mesh::time_estimator times_;
   double slowness_ = 1;
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -32,6 +32,7 @@
   bool body_complete = false;
   bool streams_body = false;  // Too large to be buffered whole.
   bool queued = false;
+  std::uint64_t group = 0;  // Of its tenant and route.
   std::uint64_t fingerprint = 0;
   std::string upstream;  // Id of the upstream that runs the call.
   std::shared_ptr<stream::exchange> exchange;
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -21,6 +21,7 @@
 }  // namespace
 
 void egress::OnDirectory() {
+  SetQueueOrder();
   const instant now = fleet_.loop.Now();
   const net::endpoint& endpoint = fleet_.settings.upstream;
   const mesh::directory::entry* entry =
@@ -196,6 +197,7 @@
   load.backlog_ms = static_cast<double>(ToWholeMs(
       (queue_.Work() + RunningWork(now)) / std::max(1, upstream_->slots)));
   load.slowness = slowness_;
+  load.rank_limit = queue_.RankLimit();
   return load;
 }
 
--- /dev/null
+++ b/src/sched/budget_history.cc
@@ -0,0 +1,38 @@
+#include <algorithm>
+
+#include "pimentohall/sched.h"
+
+namespace pimentohall::sched {
+namespace {
+
+constexpr double kNewestWeight = 0.02;
+// Callers compute their budgets to some milliseconds.
+constexpr duration kTolerance = std::chrono::milliseconds(5);
+
+}  // namespace
+
+duration budget_history::Spent(const std::string& route, duration budget,
+                               instant now) {
+  if (budget.count() < 0) return duration{0};
+  auto found = routes_.find(route);
+  if (found == routes_.end()) {
+    if (routes_.size() >= kMaxRoutes) return duration{0};
+    found = routes_.try_emplace(route).first;
+    found->second.since = now;
+  }
+  largest& seen = found->second;
+  if (now - seen.since >= kPeriod) {
+    const bool is_stale = now - seen.since >= 2 * kPeriod;
+    seen.previous = is_stale ? duration{0} : seen.current;
+    seen.current = duration{0};
+    seen.since = now;
+  }
+  seen.current = std::max(seen.current, budget);
+  const duration spent = std::max(seen.current, seen.previous) - budget;
+  const bool is_later = spent > kTolerance;
+  seen.later_share += kNewestWeight * ((is_later ? 1 : 0) - seen.later_share);
+  if (!is_later || seen.later_share > kMaxLaterShare) return duration{0};
+  return spent;
+}
+
+}  // namespace pimentohall::sched
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -34,8 +34,9 @@
 
 class model {
  public:
-  model(const load_pattern& pattern, std::uint64_t seed)
-      : pattern_(pattern), random_(seed) {
+  model(const load_pattern& pattern, std::uint64_t seed,
+        const load_options& options)
+      : pattern_(pattern), options_(options), random_(seed) {
     for (const load_class& each : pattern.classes) {
       by_name_[each.name] = &each;
       result_.classes[each.name];
@@ -44,6 +45,7 @@
       auto at = std::make_unique<upstream>();
       at->what = &pattern.upstreams[i];
       at->id = "u" + std::to_string(i);
+      at->queue.SetOrder(options.order);
       const double cold = at->what->cold_until_s;
       if (cold > 0) {
         at->gate.SetCold(kStart + Ms(cold * 1000), at->what->cold_per_s,
@@ -54,6 +56,9 @@
     for (int i = 0; i < pattern.daemons; ++i) {
       pickers_.emplace_back(seed * 100 + static_cast<std::uint64_t>(i) + 1);
     }
+    budgets_.resize(pickers_.size());
+    pacers_.resize(pickers_.size());
+    gates_.resize(pickers_.size());
   }
 
   load_result Run() {
@@ -89,6 +94,7 @@
     instant first{};  // The caller's first attempt.
     instant budget_end{};
     instant deadline{};  // Of this attempt.
+    instant aim_at{};
     int retries_left = 0;
     bool patient = true;  // Honours Retry-After.
     bool nested = false;
@@ -177,6 +183,11 @@
     const duration limit = which->nested ? Ms(which->kind->budget_ms)
                                          : Ms(which->kind->timeout_ms);
     which->deadline = std::min(which->budget_end, now_ + limit);
+    which->aim_at = now_ + Ms(which->kind->aim_ms);
+    if (options_.aims_of_retries && !which->nested) {
+      which->aim_at -= budgets_[static_cast<std::size_t>(which->daemon)].Spent(
+          which->kind->name, which->budget_end - now_, now_);
+    }
     which->tried.clear();
     which->refusals = 0;
     which->retry_after = duration{0};
@@ -228,10 +239,7 @@
     const bool may_retry = which->retries_left > 0 && left > Ms(20) && refused;
     if (may_retry) {
       --which->retries_left;
-      const duration wait =
-          which->patient
-              ? std::min(which->retry_after, duration(left.count() / 3))
-              : Ms(5);
+      const duration wait = which->patient ? RetryAfter(*which) : Ms(5);
       At(std::max(1.0, ToMs(wait)), [this, which] {
         if (!which->ended) Attempt(which);
       });
@@ -242,6 +250,16 @@
     ++(refused ? counts.refused : counts.failed);
   }
 
+  duration RetryAfter(const call& which) {
+    const duration left = which.budget_end - now_;
+    const duration room_in = which.retry_after.count() > 0
+                                 ? which.retry_after
+                                 : Ms(pattern_.no_upstream_ms);
+    if (!options_.pacer) return std::min(room_in, left / 3);
+    return pacers_[static_cast<std::size_t>(which.daemon)].RetryAfter(
+        which.kind->service, room_in, left, now_);
+  }
+
   // -------------------------------------------------------------------------
   // Daemons.
 
@@ -257,6 +275,7 @@
     load.slots = at.what->slots;
     load.backlog_ms = ToMs(at.queue.Work() + RunningWork(at)) / at.what->slots;
     load.slowness = at.slowness;
+    load.rank_limit = at.queue.RankLimit();
     return load;
   }
 
@@ -281,13 +300,19 @@
   void SendNews(std::size_t from, bool near, double period_s) {
     const mesh::load_news load = LoadOf(*upstreams_[from]);
     for (std::size_t i = 0; i < pickers_.size(); ++i) {
-      if (IsNear(from, i) == near) pickers_[i].OnNews(load, now_);
+      if (IsNear(from, i) == near) TakeNews(i, *upstreams_[from], load);
     }
     if (AtS() > pattern_.length_s) return;
     At(period_s * 1000,
        [this, from, near, period_s] { SendNews(from, near, period_s); });
   }
 
+  void TakeNews(std::size_t daemon, const upstream& from,
+                const mesh::load_news& load) {
+    pickers_[daemon].OnNews(load, now_);
+    gates_[daemon].OnReport(from.what->service, from.id, load.rank_limit, now_);
+  }
+
   void TryNext(const call_ptr& which) {
     auto& picker = pickers_[static_cast<std::size_t>(which->daemon)];
     std::vector<mesh::target_picker::candidate> candidates;
@@ -303,6 +328,11 @@
     mesh::call_profile profile;
     profile.typical = typical_.Expect(which->kind->name, Ms(100), now_);
     profile.bytes = which->kind->bytes;
+    if (options_.gate && !which->nested && which->tried.empty() &&
+        !IsAdmitted(*which, candidates)) {
+      Unanswered(which, true);
+      return;
+    }
     const auto best = picker.Pick(candidates, which->tried, profile, now_);
     if (!best || which->refusals >= kMaxRefusals) {
       Unanswered(which, true);
@@ -320,6 +350,15 @@
     });
   }
 
+  bool IsAdmitted(
+      const call& which,
+      const std::vector<mesh::target_picker::candidate>& candidates) {
+    std::vector<std::string> ids;
+    for (const auto& each : candidates) ids.push_back(each.id);
+    return gates_[static_cast<std::size_t>(which.daemon)].Admits(
+        which.kind->service, ids, which.kind->rank, ++gate_key_, now_);
+  }
+
   // The body follows once the egress has accepted the call by its head.
   void SendBody(const call_ptr& which, upstream* at, bool is_far) {
     if (which->kind->bytes <= 0) {
@@ -368,9 +407,11 @@
     item.id = which.id;
     item.rank = which.kind->rank;
     item.nested = which.nested;
-    item.aim_at = now_ + Ms(which.kind->aim_ms);
+    item.aim_at =
+        options_.aims_of_retries ? which.aim_at : now_ + Ms(which.kind->aim_ms);
     item.deadline = which.deadline;
     item.expected = Expected(at, *which.kind);
+    item.group = std::hash<std::string>()(which.kind->name);
     return item;
   }
 
@@ -404,8 +445,9 @@
     }
     At(kLinkMs, [this, which, at] {
       if (which->ended) return;
-      auto& picker = pickers_[static_cast<std::size_t>(which->daemon)];
-      picker.OnNews(LoadOf(*at), now_);
+      const auto daemon = static_cast<std::size_t>(which->daemon);
+      auto& picker = pickers_[daemon];
+      TakeNews(daemon, *at, LoadOf(*at));
       picker.OnRefused(at->id, Ms(15), now_);
       TryNext(which);
     });
@@ -415,15 +457,20 @@
     while (at->queue.Size() > 0 &&
            static_cast<int>(at->running.size()) < at->what->slots) {
       if (!at->gate.Take(now_)) break;
-      const auto next = at->queue.Pop(now_);
+      const auto next = at->queue.Pop(now_, RunningWork(*at));
       const call_ptr which = at->waiting.at(next->id);
       at->waiting.erase(next->id);
       StartCall(which, at);
     }
     Drop(at, at->queue.Expire(now_));
+    if (options_.order != mesh::queue_order::kEarliestAim) DropOvertaken(at);
     ScheduleWake(at);
   }
 
+  void DropOvertaken(upstream* at) {
+    Drop(at, at->queue.DropOvertaken(at->what->slots, RunningWork(*at), now_));
+  }
+
   void Drop(upstream* at, const std::vector<mesh::work_item>& items) {
     for (const mesh::work_item& each : items) {
       const call_ptr which = at->waiting.at(each.id);
@@ -437,8 +484,8 @@
   // What an egress does in each of its ticks.
   void Tick() {
     for (const auto& each : upstreams_) {
-      Drop(each.get(), each->queue.DropOvertaken(each->what->slots,
-                                                 RunningWork(*each), now_));
+      DropOvertaken(each.get());
+      each->queue.UpdateRankLimit(each->what->slots, RunningWork(*each), now_);
     }
     At(kTickMs, [this] { Tick(); });
   }
@@ -522,9 +569,10 @@
       at->slowness += kSlownessWeight * (ToMs(took) / typical - at->slowness);
     }
     At(kLinkMs, [this, which, at, answered] {
-      pickers_[static_cast<std::size_t>(which->daemon)].OnNews(LoadOf(*at),
-                                                               now_);
+      const auto daemon = static_cast<std::size_t>(which->daemon);
+      TakeNews(daemon, *at, LoadOf(*at));
       if (answered) {
+        pacers_[daemon].OnAnswered(which->kind->service, now_);
         Answered(which);
       } else {
         Unanswered(which, false);
@@ -569,10 +617,16 @@
   }
 
   const load_pattern& pattern_;
+  const load_options options_;
   std::mt19937_64 random_;
   std::map<std::string, const load_class*> by_name_;
   std::vector<std::unique_ptr<upstream>> upstreams_;
   std::vector<mesh::target_picker> pickers_;
+  // Of each daemon.
+  std::vector<sched::budget_history> budgets_;
+  std::vector<sched::return_pacer> pacers_;
+  std::vector<sched::admission_gate> gates_;
+  std::uint64_t gate_key_ = 0;
   mesh::time_estimator typical_;
   std::priority_queue<event> events_;
   std::uint64_t order_ = 0;
@@ -590,8 +644,13 @@
 
 }  // namespace
 
-load_result RunLoad(const load_pattern& pattern, std::uint64_t seed) {
-  return model(pattern, seed).Run();
+load_options OverloadControl() {
+  return {mesh::queue_order::kLargestSet, true, true, true};
+}
+
+load_result RunLoad(const load_pattern& pattern, std::uint64_t seed,
+                    const load_options& options) {
+  return model(pattern, seed, options).Run();
 }
 
 }  // namespace pimentohall::testing
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -70,6 +70,8 @@
   double far_news_s = 0.6;   // and between zones.
   double leave_share = 0;    // Callers that leave at half their aim.
   double ignore_share = 0;   // Callers that come back at once, and more often.
+  // Retry-After of a call for which no upstream takes calls; daemons: 250 ms.
+  double no_upstream_ms = 0;
   double length_s = 30;
 };
 
@@ -98,7 +100,18 @@
   std::vector<double> worth_by_s;
 };
 
-load_result RunLoad(const load_pattern& pattern, std::uint64_t seed);
+// Which parts of overload control are used.
+struct load_options {
+  mesh::queue_order order = mesh::queue_order::kEarliestAim;
+  bool aims_of_retries = false;  // A retry's aim counts from the first attempt.
+  bool gate = false;             // Ingresses refuse by the rank limits.
+  bool pacer = false;            // Refused callers return one after the other.
+};
+// As a daemon with the setting `overload_control`.
+load_options OverloadControl();
+
+load_result RunLoad(const load_pattern& pattern, std::uint64_t seed,
+                    const load_options& options = {});
 
 // The named patterns.
 load_pattern CalmPattern();
@@ -118,6 +131,11 @@
 // The service that others call is short from 6 s until then.
 inline constexpr double kShortCalleeUntilS = 20;
 load_pattern ShortCalleePattern();
+// The service that others call gets 1.7 times its capacity from 5 s to 25 s.
+load_pattern LastingOverloadPattern();
+// No upstream takes calls from 10 s until then.
+inline constexpr double kAllBackS = 10.4;
+load_pattern AllComeBackPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -228,13 +228,87 @@
   return pattern;
 }
 
+// Customer 1's calls (docs/design/overload-and-cost.md) on nine of its 23
+// upstreams a service. A lodgement takes a slot for 161 ms at speed 0.7 and for
+// 305 ms at 1.6, its nested calls included, so 54 slots run 282 a second. The
+// look-ups' nested calls take 8.5 slots. 4.4 times the usual lodgements make
+// that 1.7 times the capacity.
+load_pattern LastingOverloadPattern() {
+  load_pattern pattern;
+  pattern.name = "lasting overload of one service";
+  pattern.answers = "a service serves in aim what it can, for as long as it is";
+  constexpr double kFleet = 9.0 / 23;
+  constexpr double kLodgeTimes = 4.4;
+  load_class look{"lookup", "lookups", 600 * kFleet, 120, 0.8, 400,     1500,
+                  800,      1,         0.1,          0,   1,   "check", 2,
+                  0.7,      0};
+  load_class lodge{"lodge",
+                   "lodgements",
+                   251 * kFleet,
+                   160,
+                   0.3,
+                   500,
+                   2000,
+                   1000,
+                   2,
+                   0.1,
+                   1,
+                   1,
+                   "peek",
+                   2,
+                   0.7,
+                   0};
+  load_class bulk{"bulk", "bulk", 251 * kFleet, 300, 0.5, 1500, 3000,
+                  3000,   1,      0.04,         2,   1,   "",   0,
+                  0,      0};
+  load_class check{"check", "lodgements", 0, 30, 0.5, 120, 400, 400, 0, 0, 0,
+                   0,       "",           0, 0,  0};
+  load_class peek = check;
+  peek.name = "peek";
+  peek.service = "bulk";
+  pattern.classes = {look, lodge, bulk, check, peek};
+  for (const char* service : {"lookups", "lodgements", "bulk"}) {
+    for (int i = 0; i < 9; ++i) {
+      load_upstream one;
+      one.service = service;
+      one.slowness = i % 3 == 2 ? 1.6 : 0.7;
+      one.slots = 6;
+      one.zone = i / 3;
+      pattern.upstreams.push_back(one);
+    }
+  }
+  pattern.daemons = 27;
+  pattern.rate = [](const load_class& kind, double at_s) {
+    return kind.name == "lodge" && at_s > 5 && at_s < 25 ? kLodgeTimes : 1;
+  };
+  return pattern;
+}
+
+// Every caller of a moment is refused. What the callers do next decides whether
+// the returned services meet an even load or a wave.
+load_pattern AllComeBackPattern() {
+  load_pattern pattern =
+      Base("all come back", "callers refused together return spread out");
+  const std::vector<load_upstream> before = pattern.upstreams;
+  for (load_upstream& each : pattern.upstreams) each.until_s = 10;
+  for (load_upstream each : before) {
+    each.from_s = kAllBackS;
+    pattern.upstreams.push_back(each);
+  }
+  for (load_class& each : pattern.classes) each.per_s *= 1.3;
+  pattern.no_upstream_ms = 250;
+  return pattern;
+}
+
 std::vector<load_pattern> AllPatterns() {
-  return {CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
-          BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
-          RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
-          FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern(),
-          WideFleetPattern(),  UploadsPattern(),        LoadedZonePattern(),
-          LostZonePattern(),   ShortCalleePattern()};
+  return {
+      CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
+      BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
+      RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
+      FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern(),
+      WideFleetPattern(),  UploadsPattern(),        LoadedZonePattern(),
+      LostZonePattern(),   ShortCalleePattern(),    LastingOverloadPattern(),
+      AllComeBackPattern()};
 }
 
 }  // namespace pimentohall::testing
