Check a configuration of the users' platform before it is sent

Cause: an operator had no means to see what a configuration does before daemons get it. Daemons refuse a faulty one, and accept one with entries that can't have an effect.

--- a/src/cli/folder.cc
+++ b/src/cli/folder.cc
@@ -9,18 +9,18 @@
 
 namespace fs = std::filesystem;
 
-tl::expected<std::string, file_error> ReadFile(const fs::path& path) {
+}  // namespace
+
+tl::expected<std::string, file_error> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream bytes;
   bytes << file.rdbuf();
   if (!file) {
-    return tl::make_unexpected(file_error{path.string(), "can't be read"});
+    return tl::make_unexpected(file_error{path, "can't be read"});
   }
   return bytes.str();
 }
 
-}  // namespace
-
 tl::expected<folder, file_error> ReadFolder(const std::string& path) {
   folder result;
   std::error_code error;
@@ -28,7 +28,7 @@
   if (error) return tl::make_unexpected(file_error{path, error.message()});
   for (const fs::directory_entry& entry : entries) {
     if (entry.path().extension() != ".json") continue;
-    auto bytes = ReadFile(entry.path());
+    auto bytes = ReadFile(entry.path().string());
     if (!bytes) return tl::make_unexpected(bytes.error());
     const std::string name = entry.path()
                                  .lexically_relative(path)
--- a/src/cli/folder.h
+++ b/src/cli/folder.h
@@ -24,6 +24,7 @@
   std::string vms;  // Empty if there is no VM list.
 };
 
+tl::expected<std::string, file_error> ReadFile(const std::string& path);
 tl::expected<folder, file_error> ReadFolder(const std::string& path);
 tl::expected<void, file_error> WriteFile(const std::string& path,
                                          const std::string& bytes);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -2,6 +2,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <iomanip>
 #include <iostream>
 
 #include "cli/verbs.h"
@@ -14,10 +15,14 @@
   const char* name;
   int (*run)(arguments);
   const char* summary;
+  int usage_exit = kUsage;  // Exit code for bad arguments.
 };
 
 constexpr verb kVerbs[] = {
     {"check", RunCheck, "check a configuration folder before it is published"},
+    {"check-platform", RunCheckPlatform,
+     "check a configuration of the users' platform before it is sent",
+     kUnreadable},
     {"diff", RunDiff, "show what differs between two configuration folders"},
     {"build", RunBuild, "write the manifest and parts of a folder as values"},
     {"status", RunStatus, "version in force, age and lag of daemons, by zone"},
@@ -28,15 +33,19 @@
     {"watch", RunWatch, "follow the status of daemons"},
 };
 
+constexpr int kNameWidth = 16;
+
 void PrintHelp(std::ostream& out) {
   out << "usage: pimentohall VERB [arguments]\n\n";
   for (const verb& v : kVerbs) {
-    out << "  " << v.name << std::string(10 - std::string(v.name).size(), ' ')
-        << v.summary << "\n";
+    out << "  " << std::left << std::setw(kNameWidth) << v.name << v.summary
+        << "\n";
   }
   out << "\npimentohall VERB --help describes a verb.\n"
       << "Exit codes: 0 ok, 1 faults or a refused call, 2 bad arguments,\n"
-      << "3 a daemon did not answer, 4 differences or lag, 5 file error.\n";
+      << "3 a daemon did not answer, 4 differences or lag, 5 file error.\n"
+      << "check-platform has its own: 0 clean, 1 warnings, 2 errors, 3 "
+         "unreadable.\n";
 }
 
 int Main(int argc, char** argv) {
@@ -59,9 +68,9 @@
       std::cerr << "pimentohall " << name << ": " << e.error();
       if (e.argId() != " ") std::cerr << " (" << e.argId() << ")";
       std::cerr << "; see pimentohall " << name << " --help\n";
-      return kUsage;
+      return v.usage_exit;
     } catch (const TCLAP::ExitException& e) {
-      return e.getExitStatus() == 0 ? kOk : kUsage;
+      return e.getExitStatus() == 0 ? kOk : v.usage_exit;
     }
   }
   if (!name.empty()) {
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -17,10 +17,20 @@
   kFileError = 5,    // A file can't be read or written.
 };
 
+// Exit codes of `check-platform`, by the worst finding.
+enum check_platform_exit {
+  kClean = 0,
+  kWarnings = 1,
+  kErrors = 2,
+  kUnreadable =
+      3,  // A file or the arguments can't be read; nothing is checked.
+};
+
 // Arguments of a verb; the first is the program's name with the verb.
 using arguments = std::vector<std::string>;
 
 int RunCheck(arguments args);
+int RunCheckPlatform(arguments args);
 int RunDiff(arguments args);
 int RunBuild(arguments args);
 int RunStatus(arguments args);
