--- a/src/cli/check_platform_verb.cc
+++ b/src/cli/check_platform_verb.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,12 @@
 
 using json = nlohmann::ordered_json;
 
+// Widths of the table's columns.
+constexpr int kKindWidth = 7;
+constexpr int kCodeWidth = 22;
+constexpr int kPlaceWidth = 16;
+constexpr int kFieldWidth = 12;
+
 constexpr std::uint64_t kBytesPerMb = 1024 * 1024;
 
 const char* SeverityName(check::severity level) {
@@ -122,27 +129,42 @@
   return place.empty() ? "configuration" : Printable(place);
 }
 
+// Writes a cell of the table; a long text moves the rest of its row.
+void PrintCell(const std::string& text, int width) {
+  std::cout << std::left << std::setw(width) << text << "  ";
+}
+
+void PrintFinding(const check::finding& printed) {
+  const check::finding_kind& kind = check::KindOf(printed.id);
+  PrintCell(SeverityName(kind.level), kKindWidth);
+  PrintCell(kind.code, kCodeWidth);
+  PrintCell(PlaceText(printed.place), kPlaceWidth);
+  std::cout << platform::FieldName(kind.field) << "\n    "
+            << Printable(printed.problem) << "\n    fix: " << kind.fix << "\n";
+}
+
+void PrintDifference(const check::difference& printed) {
+  const bool is_changed = printed.kind == config::change_kind::kChanged;
+  PrintCell(KindName(printed.kind), kKindWidth);
+  if (printed.field.empty()) {
+    std::cout << PlaceText(printed.subject) << "\n";
+    return;
+  }
+  PrintCell(PlaceText(printed.subject), kPlaceWidth);
+  PrintCell(platform::FieldName(printed.field), kFieldWidth);
+  std::cout << Printable(printed.before) << (is_changed ? " -> " : "")
+            << Printable(printed.after) << "\n";
+}
+
 void PrintTable(const check::report& report) {
+  std::ptrdiff_t errors = 0;
   for (const check::finding& each : report.findings) {
-    const check::finding_kind& kind = check::KindOf(each.id);
-    std::cout << SeverityName(kind.level) << "  " << kind.code << "  "
-              << PlaceText(each.place) << "  "
-              << platform::FieldName(kind.field) << "\n    "
-              << Printable(each.problem) << "\n    fix: " << kind.fix << "\n";
+    PrintFinding(each);
+    errors += check::KindOf(each.id).level == check::severity::kError ? 1 : 0;
   }
   for (const check::difference& each : report.differences) {
-    std::cout << KindName(each.kind) << "  " << PlaceText(each.subject);
-    if (!each.field.empty()) {
-      std::cout << "  " << platform::FieldName(each.field) << "  ";
-    }
-    std::cout << Printable(each.before)
-              << (each.kind == config::change_kind::kChanged ? " -> " : "")
-              << Printable(each.after) << "\n";
+    PrintDifference(each);
   }
-  const auto errors = std::count_if(
-      report.findings.begin(), report.findings.end(), [](const auto& each) {
-        return check::KindOf(each.id).level == check::severity::kError;
-      });
   std::cout << errors << " error(s), "
             << static_cast<std::ptrdiff_t>(report.findings.size()) - errors
             << " warning(s), " << report.differences.size()
--- a/testing/unit/check_platform_test.cc
+++ b/testing/unit/check_platform_test.cc
@@ -78,6 +78,22 @@
 std::vector<mesh::route_part>& Parts(input& of) { return First(of).parts; }
 mesh::upstream& Listed(input& of, std::size_t i) { return (*of.upstreams)[i]; }
 
+// Adds a draining start at the address of upstream `i`, which was born at 5.
+void AddStart(input& in, std::size_t i, std::uint64_t born_ms) {
+  Listed(in, i).born_ms = 5;
+  mesh::upstream other = Listed(in, i);
+  other.id = "other";
+  other.draining = true;
+  other.born_ms = born_ms;
+  in.upstreams->push_back(other);
+}
+
+void AddShortAim(input& in, double rate_per_s) {
+  First(in).aim = milliseconds(200);
+  in.proposed.routes.push_back(Route("c", "ledger"));
+  in.proposed.tenants[0].rate_per_s = rate_per_s;
+}
+
 const std::vector<finding_case>& Cases() {
   static const std::vector<finding_case> kCases = {
       {finding_id::kVersionNotNewer, "",
@@ -173,6 +189,10 @@
          Listed(in, 1).address = Listed(in, 0).address;
          Listed(in, 1).port = 8081;
        }},
+      // Nor is one whose newest start is draining.
+      {finding_id::kAttemptsOverUpstreams, "routes/a",
+       [](input& in) { AddStart(in, 0, 9); },
+       [](input& in) { AddStart(in, 0, 4); }},
       {finding_id::kServiceTwice, "services/ledger",
        [](input& in) {
          in.proposed.services.push_back(in.proposed.services[0]);
@@ -205,6 +225,17 @@
          Listed(in, 0).zone = "west";
          First(in).max_attempts = 1;
        }},
+      {finding_id::kAllInEvacuatedZones, "services/ledger",
+       [](input& in) {
+         in.evacuated_zones = {"west"};
+         Listed(in, 0).zone = "west";
+         Listed(in, 1).draining = true;
+       },
+       [](input& in) {
+         in.evacuated_zones = {"west"};
+         Listed(in, 0).zone = "west";
+         First(in).max_attempts = 1;
+       }},
       {finding_id::kServiceMissing, "services/gone",
        [](input& in) {
          in.upstreams->push_back(Upstream("g1", "gone", "north"));
@@ -231,6 +262,10 @@
          in.proposed.tenants[0].rate_per_s = 1e9;
          First(in).aim = milliseconds(0);
        }},
+      // The shortest aim of a service's routes counts: 12 slots / 50 ms.
+      {finding_id::kRateOverCapacity, "tenants/acme",
+       [](input& in) { AddShortAim(in, 240.1); },
+       [](input& in) { AddShortAim(in, 240); }},
       {finding_id::kBodyOverMemory, "limits",
        [](input& in) { in.proposed.limits.body_bytes = 1001; },
        [](input& in) { in.proposed.limits.body_bytes = 1000; }},
@@ -298,6 +333,22 @@
   CHECK(Check(both).Worst() == severity::kError);
 }
 
+// Guards against parts of weight 0 that count as if they got calls: their
+// service may have few upstreams, and their route's aim is none of its calls'.
+TEST_CASE("check: a part of weight 0 has no other finding") {
+  input in = Clean();
+  mesh::route split = Route("c", "ledger");
+  split.parts.push_back({"counter", 0});
+  split.aim = milliseconds(50);
+  in.proposed.routes.push_back(split);
+  in.proposed.routes[1].max_attempts = 1;
+  Listed(in, 2).draining = true;
+  Listed(in, 3).slots = 1000;  // 10,000 calls/s at the aim of route b.
+  in.proposed.tenants[0].rate_per_s = 10'001;
+  CHECK(Codes(Check(in)) ==
+        "weight-zero routes/c; rate-over-capacity tenants/acme; ");
+}
+
 struct difference_case {
   edit change;  // Of the proposed configuration.
   std::vector<difference> expected;
@@ -365,6 +416,12 @@
         changed("tenants/acme", "regions", "[]", "[eu, us]"),
         {change_kind::kRemoved, "tenants/acme", "key", "d1", ""},
         {change_kind::kAdded, "tenants/acme", "key", "", "d3"}}},
+      // Different values have different texts.
+      {[](input& in) {
+         in.in_force->tenants[0].burst = 0.3;
+         in.proposed.tenants[0].burst = 0.1 + 0.2;
+       },
+       {changed("tenants/acme", "burst", "0.3", "0.30000000000000004")}},
       {[](input& in) { in.proposed.tenants.push_back(Tenant("new", "d4")); },
        {{change_kind::kAdded, "tenants/new", "", "", ""},
         {change_kind::kAdded, "tenants/new", "key", "", "d4"}}},
