Add the high estimate of a queued call's time

Cause: in-time admission needs more than the mean of a call's time. Change: mesh::work_item::high (optional, 80th percentile); High() is expected where it is unknown. Conclusion: nothing sets it yet, so no decision changes.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -612,6 +612,10 @@
   instant aim_at{};     // The answer has its full value until then.
   instant deadline{};   // The answer has no value after that.
   duration expected{0};  // Time that the call takes once started.
+  // 80th percentile of that time; none: unknown.
+  std::optional<duration> high;
+
+  duration High() const { return high.value_or(expected); }
 };
 
 // Why a call isn't queued, and when to retry it.
