Predict the cost of a call from its features

Cause: the work of calls on one route varies from a fifth to ten times its mean, and one mean by route can't tell cheap calls from costly ones. Nothing decides by it yet.

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -8,8 +8,12 @@
 // `core::instant` unless the name carries a unit. Functions without an error
 // type can't fail.
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "pimentohall/core.h"
 
@@ -36,6 +40,132 @@
 // ---------------------------------------------------------------------------
 // Cost of a call.
 
+// What is known about a call before it runs.
+struct call_features {
+  std::string_view route;
+  std::string_view method;
+  std::string_view path;  // With or without a query, which is ignored.
+  std::string_view caller_service;
+  std::string_view tenant;
+  double body_bytes = 0;
+};
+
+// Hashes of a call's features. Of a path, only its shape counts: segments that
+// contain a digit or are long are taken for identifiers and are all equal.
+struct cost_key {
+  // A path shape is known by its method and route; the others by the path.
+  enum effect : std::size_t { kPath, kCaller, kTenant, kSize, kEffects };
+  std::uint64_t route = 0;
+  std::array<std::uint64_t, kEffects> effects{};
+  friend bool operator==(const cost_key& a, const cost_key& b) {
+    return a.route == b.route && a.effects == b.effects;
+  }
+};
+cost_key KeyOf(const call_features& call);
+
+// Time that a call takes once started, at usual speed and pace.
+struct cost_estimate {
+  duration mean{0};
+  duration high{0};  // 80th percentile.
+  friend bool operator==(const cost_estimate& a, const cost_estimate& b) {
+    return a.mean == b.mean && a.high == b.high;
+  }
+};
+
+// Learns the cost of calls from the runs that ended.
+//
+// The logarithm of a cost is the mean of its route plus an effect for each
+// feature. Each effect is fitted to what the ones before it leave unexplained
+// and is shrunk towards 0: by its number of runs, and by how well the effects
+// of its kind have predicted runs of this route so far. The distribution around
+// that prediction is kept as a histogram by route and path shape; it yields the
+// mean, the high estimate and the remaining time of a run.
+//
+// All weights halve every `kHalfLifeS` without runs, so estimates return to the
+// fallback. Memory is allocated once; the lightest of the colliding entries is
+// replaced.
+class cost_predictor {
+ public:
+  static constexpr double kHalfLifeS = 30;
+  // One run changes a prediction at most by this factor.
+  static constexpr double kMaxFactorPerRun = 8;
+
+  cost_predictor();
+
+  // A run took `work`, corrected for the upstream's speed and pace. Times that
+  // are not positive or above 10 minutes are ignored.
+  void Observe(const cost_key& call, duration work, instant now);
+  // `fallback`: mean that applies without any run of the route.
+  cost_estimate Predict(const cost_key& call, duration fallback,
+                        instant now) const;
+  // Expected time left of a run that has taken `age` and hasn't ended.
+  duration Remaining(const cost_key& call, duration age, duration fallback,
+                     instant now) const;
+
+  void Observe(const call_features& call, duration work, instant now) {
+    Observe(KeyOf(call), work, now);
+  }
+  cost_estimate Predict(const call_features& call, duration fallback,
+                        instant now) const {
+    return Predict(KeyOf(call), fallback, now);
+  }
+  duration Remaining(const call_features& call, duration age, duration fallback,
+                     instant now) const {
+    return Remaining(KeyOf(call), age, fallback, now);
+  }
+
+  std::size_t Routes() const;
+  std::size_t MemoryBytes() const;
+
+ private:
+  static constexpr std::size_t kBins = 24;
+  using histogram = std::array<float, kBins>;
+
+  // Weight in runs at the time `at`.
+  struct entry {
+    std::uint64_t key = 0;  // 0: free.
+    instant at{};
+    float weight = 0;
+    float mean = 0;  // Of logarithms.
+  };
+  // How well the effects of one kind predict.
+  struct trust {
+    float explained = 0.5F;  // Decaying sum of residual x effect,
+    float squares = 0.5F;    // and of effect squared.
+    float Value() const;
+  };
+  struct route_entry : entry {
+    std::array<trust, cost_key::kEffects> trusts;
+  };
+  struct spread_entry : entry {
+    histogram bins{};
+  };
+  // Log-mean of a call, and what it is made of.
+  struct prediction {
+    double log_mean = 0;
+    double route_weight = 0;
+    std::array<double, cost_key::kEffects> effects{};
+  };
+  // The distribution of cost / exp(log-mean), scaled to milliseconds.
+  struct distribution {
+    histogram mass{};    // Sums to 1.
+    double base_ms = 0;  // Cost at ratio 1.
+    double mean_ms = 0;
+  };
+
+  prediction Sum(const route_entry& route, const cost_key& call,
+                 instant now) const;
+  distribution Distribution(const cost_key& call, duration fallback,
+                            instant now) const;
+  void LearnEffects(route_entry* route, const cost_key& call, double log_ms,
+                    instant now);
+  void LearnSpread(std::uint64_t key, double residual, instant now);
+
+  std::vector<route_entry> routes_;
+  std::vector<entry> effects_;
+  std::vector<spread_entry> spreads_;
+};
+
 // ---------------------------------------------------------------------------
 // Speed and pace of an upstream.
 
