Route and queue calls by their predicted cost

Cause: backlog, admission and the choice of an upstream counted calls by the mean of their route; a run that outlived its mean was assumed to last a quarter of it. Change: under cost_routing, the egress predicts each call, learns from answered runs below 300, and takes the conditional remaining time of running calls; the backlog it reports follows. The ingress learns from answers of other daemons, and target_picker counts the cost of what was sent since the last report. Metric pimentohall_cost_ratio, log field high_ms, section cost of the state dump. The egress corrects by a mean of its slowness over 100 runs: with the present slowness (12 runs) the errors of both don't cancel.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -513,6 +513,9 @@
 struct call_profile {
   duration typical{0};  // Usual duration at an upstream of usual speed.
   double bytes = 0;     // Of the request and its answer, as far as known.
+  // Expected duration of this call at an upstream of usual speed. If known, the
+  // wait is derived from the work ahead, otherwise from the number of calls.
+  std::optional<duration> cost = {};
 };
 
 // Ranks upstreams by their expected time to answer: from the load that the
@@ -531,7 +534,8 @@
   };
 
   void OnNews(const load_news& news, instant now);
-  void OnSent(const std::string& id);
+  // `cost`: expected duration at an upstream of usual speed; 0: unknown.
+  void OnSent(const std::string& id, duration cost);
   // `failed`: the call failed through a fault of the upstream.
   void OnDone(const std::string& id, bool failed, instant now);
   // The daemon on the upstream's VM refused a call: sends none for `backoff`.
@@ -554,7 +558,8 @@
   struct state {
     load_news last;
     instant reported_at{};
-    int sent_since = 0;        // Calls sent since the last news.
+    int sent_since = 0;        // Calls sent since the last news,
+    double sent_work_ms = 0;   // and their cost.
     double failure_share = 0;  // Decaying mean at `failed_at`.
     instant failed_at{};       // End of the last call, failed or not.
     instant backoff_until{};
@@ -563,6 +568,8 @@
   };
   double FailureShare(const state& target, instant now) const;
   double TransitMs(const state& target, instant now) const;
+  static double WaitMs(const state& target, const call_profile& call,
+                       double slots, double call_ms);
   std::uint64_t Random();
 
   std::uint64_t random_;
--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -72,6 +72,23 @@
   }
 };
 
+// Mean of an upstream's times relative to the usual ones, over about 100 runs.
+// An estimate of cost divides by it when it learns and multiplies by it when it
+// predicts. A mean over few runs follows the mix of calls instead of the
+// upstream, and that error doesn't cancel.
+class speed_mean {
+ public:
+  // Ratios that aren't positive numbers are ignored; others are limited to
+  // 0.05 to 20.
+  void Observe(double ratio);
+  // 1: never observed.
+  double Value() const { return mean_; }
+
+ private:
+  double mean_ = 1;
+  int runs_ = 0;
+};
+
 // Learns the cost of calls from the runs that ended.
 //
 // The logarithm of a cost is the mean of its route plus an effect for each
@@ -114,6 +131,7 @@
     return Remaining(KeyOf(call), age, fallback, now);
   }
 
+  // Routes with runs, 64 at most.
   std::size_t Routes() const;
   std::size_t MemoryBytes() const;
 
--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,5 +1,5 @@
-// load_patterns [SEEDS]: prints a table of every load pattern, the mean over
-// the seeds 1 to SEEDS (default 5).
+// load_patterns [SEEDS [cost]]: prints a table of every load pattern, the mean
+// over the seeds 1 to SEEDS (default 5). `cost`: with cost routing.
 
 #include <cstdio>
 #include <cstdlib>
@@ -53,7 +53,9 @@
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
   std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
               "worst", "wait ms", "in vain", "in aim + late, by kind");
-  for (const auto& pattern : pimentohall::testing::AllPatterns()) {
+  const bool uses_cost = argc > 2 && std::string(argv[2]) == "cost";
+  for (auto pattern : pimentohall::testing::AllPatterns()) {
+    pattern.uses_cost_routing = uses_cost;
     pimentohall::testing::PrintPattern(pattern, seeds);
   }
   return 0;
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -52,9 +52,15 @@
   target.last = news;
   target.reported_at = now;
   target.sent_since = 0;
+  target.sent_work_ms = 0;
 }
 
-void target_picker::OnSent(const std::string& id) { ++states_[id].sent_since; }
+void target_picker::OnSent(const std::string& id, duration cost) {
+  state& target = states_[id];
+  ++target.sent_since;
+  target.sent_work_ms +=
+      std::chrono::duration<double, std::milli>(cost).count();
+}
 
 void target_picker::OnDone(const std::string& id, bool failed, instant now) {
   state& target = states_[id];
@@ -88,6 +94,21 @@
   return target.transit_ms * std::exp2(-age.count() / kTransitHalfLifeS);
 }
 
+// Expected wait before another call starts. With the costs known, all work
+// ahead counts once no slot is free: the share of it that must end first,
+// (calls - slots) / calls, is shorter but sends too many calls to upstreams
+// that are full with news of some hundred ms ago.
+double target_picker::WaitMs(const state& target, const call_profile& call,
+                             double slots, double call_ms) {
+  const load_news& news = target.last;
+  const double load = news.running + news.queued + target.sent_since;
+  const double excess = std::max(0.0, load + 1 - slots);
+  if (excess <= 0) return 0;
+  if (!call.cost) return std::max(news.backlog_ms, excess / slots * call_ms);
+  const double slowness = std::max(0.1, news.slowness);
+  return news.backlog_ms + target.sent_work_ms * slowness / slots;
+}
+
 double target_picker::ScoreMs(const candidate& target, const call_profile& call,
                               instant now) const {
   constexpr double kBytesPerKb = 1000;
@@ -98,15 +119,14 @@
   const state& known = found == states_.end() ? unknown : found->second;
   const double slots =
       std::max(1, known.last.slots > 0 ? known.last.slots : target.slots);
-  double call_ms = typical_ms * std::max(0.1, known.last.slowness);
+  const double usual_ms = std::chrono::duration<double, std::milli>(
+                              call.cost.value_or(call.typical))
+                              .count();
+  double call_ms = usual_ms * std::max(0.1, known.last.slowness);
   if (target.is_cold) call_ms *= kColdFactor;
   const double load = known.last.running + known.last.queued + known.sent_since;
-  const double excess = std::max(0.0, load + 1 - slots);
-  const double wait_ms =
-      excess > 0 ? std::max(known.last.backlog_ms, excess / slots * call_ms)
-                 : 0;
   const double utilisation = std::min(1.0, load / slots);
-  return wait_ms +
+  return WaitMs(known, call, slots, call_ms) +
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
          kFailureCost * typical_ms * FailureShare(known, now) +
          TransitMs(known, now) * (1 + call.bytes / (kTransitKb * kBytesPerKb)) +
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -42,6 +42,18 @@
 constexpr char kAttemptPath[] = "/pimentohall/attempt?";
 constexpr std::string_view kIdField = "&id=";
 
+duration Scale(duration time, double factor) {
+  return std::chrono::duration_cast<duration>(time * factor);
+}
+
+sched::cost_key CostKeyOf(const call_header& info,
+                          const stream::message_head& head) {
+  const bool has_length = head.framing == stream::body_framing::kLength;
+  return sched::KeyOf({info.route, head.method, head.target,
+                       info.caller_service, info.tenant,
+                       has_length ? static_cast<double>(head.length) : 0});
+}
+
 }  // namespace
 
 egress::egress(fleet_state& fleet)
@@ -101,6 +113,7 @@
   new_call->aim_at = new_call->received + milliseconds(new_call->info.aim_ms);
   DropFleetHeaders(&head.headers);
   new_call->head = std::move(head);
+  new_call->cost = CostKeyOf(new_call->info, new_call->head);
   new_call->head_bytes = stream::MemoryOf(new_call->head);
   inbound->SetHeldBytes(new_call->head_bytes);
   calls_[new_call->id] = new_call;
@@ -210,19 +223,37 @@
   return core::reason::kNone;
 }
 
-duration egress::ExpectedTime(const call_header& call) const {
-  const auto usual = std::chrono::duration<double, std::milli>(
-      static_cast<double>(call.typical_ms) * slowness_);
-  return times_.Expect(call.route, std::chrono::duration_cast<duration>(usual),
-                       fleet_.loop.Now());
+sched::cost_estimate egress::ExpectedTime(const call& call) const {
+  const instant now = fleet_.loop.Now();
+  const duration typical = milliseconds(call.info.typical_ms);
+  if (fleet_.UsesCostRouting()) {
+    const auto cost = fleet_.costs.Predict(call.cost, typical, now);
+    const double slowness = usual_slowness_.Value();
+    return {Scale(cost.mean, slowness), Scale(cost.high, slowness)};
+  }
+  const duration time =
+      times_.Expect(call.info.route, Scale(typical, slowness_), now);
+  return {time, time};
+}
+
+duration egress::RemainingTime(const call& call, instant now) const {
+  const duration age = now - call.started;
+  if (fleet_.UsesCostRouting()) {
+    const double slowness = usual_slowness_.Value();
+    const duration left =
+        fleet_.costs.Remaining(call.cost, Scale(age, 1 / slowness),
+                               milliseconds(call.info.typical_ms), now);
+    return Scale(left, slowness);
+  }
+  // A call that exceeds its expected time is still assumed to have some left.
+  const duration expected = ExpectedTime(call).mean;
+  return std::max(expected / 4, expected - age);
 }
 
 duration egress::RunningWork(instant now) const {
   duration work{0};
   for (const auto& [id, call] : running_) {
-    const duration expected = ExpectedTime(call->info);
-    // A call that exceeds its expected time is still assumed to have some left.
-    work += std::max(expected / 4, expected - (now - call->started));
+    work += RemainingTime(*call, now);
   }
   return work;
 }
@@ -234,7 +265,9 @@
   item.nested = call.info.nested;
   item.aim_at = call.aim_at;
   item.deadline = std::min(call.deadline, fleet_.stop_ends_at) - kAnswerMargin;
-  item.expected = ExpectedTime(call.info);
+  const sched::cost_estimate time = ExpectedTime(call);
+  item.expected = time.mean;
+  if (fleet_.UsesCostRouting()) item.high = time.high;
   return item;
 }
 
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -81,7 +81,11 @@
   void StartQueuedCalls();
   void StartCall(const call_ptr& call);
   void RemoveRunning(const call& call);
-  duration ExpectedTime(const call_header& call) const;
+  // At this upstream's speed.
+  sched::cost_estimate ExpectedTime(const call& call) const;
+  // Expected time left of a running call.
+  duration RemainingTime(const call& call, instant now) const;
+  void ObserveCost(const call& call, duration took, instant now);
   duration RunningWork(instant now) const;
 
   void OnAnswerHead(const call_ptr& call, stream::message_head head);
@@ -131,6 +135,7 @@
   mesh::warmup_gate gate_;
   mesh::time_estimator times_;
   double slowness_ = 1;
+  sched::speed_mean usual_slowness_;
   instant wake_at_ = instant::max();
   sigc::connection wake_timer_;
   sigc::connection tick_timer_;
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -53,6 +53,7 @@
     result = outcome::kShed;
     reason = core::reason::kShed;
   } else if (call->answer.status < 300) {
+    ObserveCost(*call, took, now);
     times_.Observe(call->info.route, took, now);
     const duration typical = std::max<duration>(
         milliseconds(1), milliseconds(call->info.typical_ms));
@@ -79,6 +80,17 @@
   StartQueuedCalls();
 }
 
+void egress::ObserveCost(const call& call, duration took, instant now) {
+  if (!fleet_.UsesCostRouting()) return;
+  fleet_.metrics.ObserveCostRatio(ExpectedTime(call).mean, took);
+  const double slowness = usual_slowness_.Value();
+  fleet_.costs.Observe(
+      call.cost, std::chrono::duration_cast<duration>(took / slowness), now);
+  const duration typical = milliseconds(call.info.typical_ms);
+  usual_slowness_.Observe(static_cast<double>(took.count()) /
+                          static_cast<double>(typical.count()));
+}
+
 outcome_header egress::BuildOutcome(const call& call, outcome result,
                                     core::reason reason, instant now) const {
   outcome_header outcome_info;
@@ -172,6 +184,7 @@
 void egress::LogEnd(const call& call, outcome result, core::reason reason) {
   const instant now = fleet_.loop.Now();
   const bool started = call.started != instant{};
+  const sched::cost_estimate expected = ExpectedTime(call);
   net::Log(
       core::log_level::kInfo, "attempt ended",
       {{"request", call.caller_id},
@@ -182,7 +195,8 @@
        {"status", std::to_string(call.answer.status)},
        {"queue_ms", MsText((started ? call.started : now) - call.received)},
        {"upstream_ms", started ? MsText(now - call.started) : "0"},
-       {"expected_ms", MsText(ExpectedTime(call.info))},
+       {"expected_ms", MsText(expected.mean)},
+       {"high_ms", MsText(expected.high)},
        {"budget_ms", MsText(call.deadline - call.received)},
        {"aim_ms", MsText(call.aim_at - call.received)},
        {"running", std::to_string(running_.size())},
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -22,6 +22,7 @@
   std::shared_ptr<stream::server_exchange> inbound;  // From the ingress.
   stream::message_head head;
   call_header info;
+  sched::cost_key cost;
   std::string caller_id;  // The caller's own id of its request.
   instant received{};
   instant deadline{};
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -48,6 +48,7 @@
               {"cold_ms", MsText(std::max(duration{0}, cold_left))},
               {"revision", std::to_string(upstream_->revision)}});
     slowness_ = 1;
+    usual_slowness_ = {};
     pool_.CloseIdle(endpoint);
     state_ = upstream_state::kUnknown;
     Probe();
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -51,6 +51,9 @@
   mesh::target_picker picker;
   // Typical duration of calls by route, over the fleet.
   mesh::time_estimator typical;
+  // Cost of calls, for cost routing: those that the upstream of this VM ran,
+  // and those that this daemon sent to others.
+  sched::cost_predictor costs;
   // Bytes that the calls of a route carry.
   mesh::size_estimator carried;
   // Of all calls of this daemon.
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -250,6 +250,17 @@
          now + fleet_.TypicalTime(*call.route) >= fleet_.stop_ends_at;
 }
 
+void ingress::PredictCost(call* call, instant now) const {
+  call->cost.reset();
+  if (!fleet_.UsesCostRouting()) return;
+  call->cost_key = sched::KeyOf(
+      {call->route->name, call->head.method, call->head.target,
+       fleet_.settings.caller_service, call->tenant ? call->tenant->name : "",
+       static_cast<double>(RequestBytes(*call))});
+  const duration typical = fleet_.TypicalTime(*call->route);
+  call->cost = fleet_.costs.Predict(call->cost_key, typical, now).mean;
+}
+
 void ingress::StartNextAttempt(const call_ptr& call) {
   // After a stall, the daemon may read a call and the end of its connection in
   // the same turn of the loop.
@@ -271,6 +282,8 @@
   profile.typical = fleet_.TypicalTime(*call->route);
   profile.bytes = std::max(fleet_.carried.Expect(call->route->name),
                            static_cast<double>(RequestBytes(*call)));
+  PredictCost(call.get(), now);
+  profile.cost = call->cost;
   const auto best =
       fleet_.picker.Pick(candidates, call->tried_upstreams, profile, now);
   if (!best || call->refusals >= kMaxRefusals) {
@@ -364,7 +377,7 @@
     StartNextAttempt(call);
     return;
   }
-  fleet_.picker.OnSent(upstream);
+  fleet_.picker.OnSent(upstream, call->cost.value_or(duration{0}));
   fleet_.metrics.CountAttempt(call->sent > 0);
   if (!call->body_withheld) SendBody(call);
 }
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -63,6 +63,8 @@
   // Bytes of the request's body, as far as they are known.
   static std::size_t RequestBytes(const call& call);
   void SendBody(const call_ptr& call);
+  void PredictCost(call* call, instant now) const;
+  void ObserveCost(const call& call, instant now);
   call_header BuildCallHeader(const call& call, const std::string& upstream,
                               instant now) const;
 
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -12,6 +12,9 @@
 
 // An upstream whose daemon refused a call gets no calls for this long.
 constexpr duration kRefusedBackoff = milliseconds(15);
+// A slowness outside of this range isn't believed: no cost is learned.
+constexpr double kMinSlowness = 0.05;
+constexpr double kMaxSlowness = 20;
 // An unreachable upstream gets no calls for this long, even if its news arrive.
 constexpr duration kUnreachableBackoff = milliseconds(300);
 constexpr duration kMaxRetryAfter = std::chrono::seconds(3);
@@ -125,6 +128,7 @@
   if (!failed) {
     fleet_.typical.Observe(call->route->name,
                            milliseconds(call->outcome_info.took_ms), now);
+    ObserveCost(*call, now);
     fleet_.carried.Observe(
         call->route->name,
         static_cast<double>(RequestBytes(*call) + call->answer_body.size()));
@@ -141,6 +145,18 @@
   Relay(call);
 }
 
+// The egress beside the upstream of this VM learns from the same runs itself.
+void ingress::ObserveCost(const call& call, instant now) {
+  const bool is_own = call.address == fleet_.settings.peers.address;
+  if (!call.cost || is_own || call.answer.status >= 300) return;
+  const double slowness = call.outcome_info.load.slowness;
+  if (!(slowness >= kMinSlowness && slowness <= kMaxSlowness)) return;
+  const duration took = milliseconds(call.outcome_info.took_ms);
+  fleet_.costs.Observe(call.cost_key,
+                       std::chrono::duration_cast<duration>(took / slowness),
+                       now);
+}
+
 bool ingress::RelayFailedAnswer(const call_ptr& call) {
   if (!call->has_failed_answer) return false;
   if (call->attempt) call->attempt->Cancel();
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -45,6 +45,9 @@
   std::string address;
   std::uint32_t peer_boot = 0;  // Of the daemon at `address`; 0: unknown.
   instant forwarded{};
+  sched::cost_key cost_key;
+  // At an upstream of usual speed; none without cost routing.
+  std::optional<duration> cost;
   outcome_header outcome_info;
   stream::message_head answer;
   std::string answer_body;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -535,6 +535,10 @@
     }
     state["running"] = egress_.Running();
     state["queued"] = egress_.Queued();
+    const auto load = egress_.Load();
+    state["cost"] = {{"used", fleet_.UsesCostRouting()},
+                     {"routes", fleet_.costs.Routes()},
+                     {"backlog_ms", load ? load->backlog_ms : 0}};
     return state.dump(1);
   }
 
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -9,6 +9,9 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
     0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 8};
 
+const prometheus::Histogram::BucketBoundaries kRatioBounds = {
+    0.125, 0.25, 0.5, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 4, 8};
+
 double Seconds(core::duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -68,6 +71,8 @@
                              "Time that started calls waited here.")),
       upstream_time_(Histograms("pimentohall_upstream_seconds",
                                 "Time of calls at the upstream.")),
+      cost_ratio_(Histograms("pimentohall_cost_ratio",
+                             "Predicted / actual time at the upstream.")),
       ready_(Gauge("pimentohall_ready", "1 if callers are welcome.")),
       config_version_(Gauge("pimentohall_config_version",
                             "Configuration in force; 0: none.")),
@@ -101,6 +106,13 @@
       .Observe(Seconds(took));
 }
 
+void node_metrics::ObserveCostRatio(core::duration predicted,
+                                    core::duration actual) {
+  if (actual.count() <= 0) return;
+  cost_ratio_->Add({}, kRatioBounds)
+      .Observe(Seconds(predicted) / Seconds(actual));
+}
+
 void node_metrics::CountAttempt(bool is_repeat) {
   attempts_->Add({{"repeat", is_repeat ? "true" : "false"}}).Increment();
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -26,6 +26,8 @@
   // Records how long a started call waited in the egress's queue.
   void ObserveQueueWait(core::duration wait);
   void ObserveUpstream(const std::string& outcome, core::duration took);
+  // `predicted` and `actual` time of a run that was answered.
+  void ObserveCostRatio(core::duration predicted, core::duration actual);
   void CountAttempt(bool is_repeat);
   void CountSource(const char* result);
   void CountNews(bool sent, std::size_t bytes);
@@ -73,6 +75,7 @@
   prometheus::Family<prometheus::Histogram>* call_time_;
   prometheus::Family<prometheus::Histogram>* queue_wait_;
   prometheus::Family<prometheus::Histogram>* upstream_time_;
+  prometheus::Family<prometheus::Histogram>* cost_ratio_;
   prometheus::Gauge* ready_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* config_age_;
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -54,6 +54,7 @@
     for (int i = 0; i < pattern.daemons; ++i) {
       pickers_.emplace_back(seed * 100 + static_cast<std::uint64_t>(i) + 1);
     }
+    if (pattern.uses_cost_routing) sent_costs_.resize(pickers_.size());
   }
 
   load_result Run() {
@@ -111,7 +112,9 @@
     mesh::work_queue queue;
     mesh::warmup_gate gate;
     mesh::time_estimator times;
+    sched::cost_predictor costs;
     double slowness = 1;
+    sched::speed_mean usual_slowness;
     instant link_free_at{};
     std::map<std::uint64_t, call_ptr> waiting;
     std::map<std::uint64_t, call_ptr> running;
@@ -301,7 +304,12 @@
       targets.push_back(at);
     }
     mesh::call_profile profile;
-    profile.typical = typical_.Expect(which->kind->name, Ms(100), now_);
+    profile.typical = Typical(*which->kind);
+    if (pattern_.uses_cost_routing) {
+      profile.cost = sent_costs_[static_cast<std::size_t>(which->daemon)]
+                         .Predict(KeyOf(*which->kind), profile.typical, now_)
+                         .mean;
+    }
     profile.bytes = which->kind->bytes;
     const auto best = picker.Pick(candidates, which->tried, profile, now_);
     if (!best || which->refusals >= kMaxRefusals) {
@@ -310,7 +318,7 @@
     }
     upstream* const at = targets[*best];
     which->tried.push_back(at->id);
-    picker.OnSent(at->id);
+    picker.OnSent(at->id, profile.cost.value_or(duration{0}));
     const bool is_far = !candidates[*best].is_near;
     const double head_ms = TransitMs(kHeadBytes, at);
     At(head_ms, [this, which, at, head_ms, is_far] {
@@ -348,17 +356,48 @@
   // -------------------------------------------------------------------------
   // The queue before an upstream.
 
-  duration Expected(const upstream& at, const load_class& kind) const {
-    const double typical =
-        ToMs(typical_.Expect(kind.name, Ms(100), now_)) * at.slowness;
-    return at.times.Expect(kind.name, Ms(typical), now_);
+  static const std::string& RouteOf(const load_class& kind) {
+    return kind.route.empty() ? kind.name : kind.route;
+  }
+
+  static sched::cost_key KeyOf(const load_class& kind) {
+    return sched::KeyOf({RouteOf(kind), "GET", kind.path, "", "", kind.bytes});
+  }
+
+  duration Typical(const load_class& kind) const {
+    return typical_.Expect(RouteOf(kind), Ms(100), now_);
+  }
+
+  sched::cost_estimate Expected(const upstream& at,
+                                const load_class& kind) const {
+    const duration typical = Typical(kind);
+    if (pattern_.uses_cost_routing) {
+      const auto cost = at.costs.Predict(KeyOf(kind), typical, now_);
+      return {Ms(ToMs(cost.mean) * at.usual_slowness.Value()),
+              Ms(ToMs(cost.high) * at.usual_slowness.Value())};
+    }
+    const duration time =
+        at.times.Expect(RouteOf(kind), Ms(ToMs(typical) * at.slowness), now_);
+    return {time, time};
+  }
+
+  // As the egress.
+  duration Remaining(const upstream& at, const call& which) const {
+    const duration age = now_ - which.started;
+    if (pattern_.uses_cost_routing) {
+      const duration left = at.costs.Remaining(
+          KeyOf(*which.kind), Ms(ToMs(age) / at.usual_slowness.Value()),
+          Typical(*which.kind), now_);
+      return Ms(ToMs(left) * at.usual_slowness.Value());
+    }
+    const duration expected = Expected(at, *which.kind).mean;
+    return std::max(expected / 4, expected - age);
   }
 
   duration RunningWork(const upstream& at) const {
     duration work{0};
     for (const auto& [id, each] : at.running) {
-      const duration expected = Expected(at, *each->kind);
-      work += std::max(expected / 4, expected - (now_ - each->started));
+      work += Remaining(at, *each);
     }
     return work;
   }
@@ -370,7 +409,9 @@
     item.nested = which.nested;
     item.aim_at = now_ + Ms(which.kind->aim_ms);
     item.deadline = which.deadline;
-    item.expected = Expected(at, *which.kind);
+    const sched::cost_estimate time = Expected(at, *which.kind);
+    item.expected = time.mean;
+    if (pattern_.uses_cost_routing) item.high = time.high;
     return item;
   }
 
@@ -514,10 +555,10 @@
     auto& picker = pickers_[static_cast<std::size_t>(which->daemon)];
     picker.OnDone(at->id, !answered, now_);
     if (answered) {
-      const double typical = std::max(
-          1.0, ToMs(typical_.Expect(which->kind->name, Ms(100), now_)));
-      at->times.Observe(which->kind->name, took, now_);
-      typical_.Observe(which->kind->name, took, now_);
+      const double typical = std::max(1.0, ToMs(Typical(*which->kind)));
+      at->times.Observe(RouteOf(*which->kind), took, now_);
+      ObserveCost(*which, at, took);
+      typical_.Observe(RouteOf(*which->kind), took, now_);
       constexpr double kSlownessWeight = 0.08;
       at->slowness += kSlownessWeight * (ToMs(took) / typical - at->slowness);
     }
@@ -533,6 +574,15 @@
     Pump(at);
   }
 
+  void ObserveCost(const call& which, upstream* at, duration took) {
+    if (!pattern_.uses_cost_routing) return;
+    const sched::cost_key key = KeyOf(*which.kind);
+    at->costs.Observe(key, Ms(ToMs(took) / at->usual_slowness.Value()), now_);
+    at->usual_slowness.Observe(ToMs(took) / ToMs(Typical(*which.kind)));
+    sent_costs_[static_cast<std::size_t>(which.daemon)].Observe(
+        key, Ms(ToMs(took) / at->slowness), now_);
+  }
+
   load_result Summary() {
     double owed = 0;
     double earned = 0;
@@ -573,6 +623,7 @@
   std::map<std::string, const load_class*> by_name_;
   std::vector<std::unique_ptr<upstream>> upstreams_;
   std::vector<mesh::target_picker> pickers_;
+  std::vector<sched::cost_predictor> sent_costs_;  // By daemon.
   mesh::time_estimator typical_;
   std::priority_queue<event> events_;
   std::uint64_t order_ = 0;
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -37,6 +37,8 @@
   int nested_times = 0;     // One after the other.
   double nested_share = 0;  // Of its calls that make them.
   double bytes = 0;         // Of each request, on the way to the upstream.
+  std::string route = {};   // Empty: its name.
+  std::string path = "/";
 };
 
 struct load_upstream {
@@ -71,6 +73,7 @@
   double leave_share = 0;    // Callers that leave at half their aim.
   double ignore_share = 0;   // Callers that come back at once, and more often.
   double length_s = 30;
+  bool uses_cost_routing = false;
 };
 
 struct class_result {
@@ -118,6 +121,8 @@
 // The service that others call is short from 6 s until then.
 inline constexpr double kShortCalleeUntilS = 20;
 load_pattern ShortCalleePattern();
+load_pattern LookAlikesPattern();
+load_pattern TwoKindsPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -48,6 +48,27 @@
   return pattern;
 }
 
+// One route for short and long calls, close to the capacity of their service.
+// `path` of the long calls: unlike that of the short ones, it tells them apart.
+load_pattern MixedRoutePattern(const std::string& path) {
+  load_pattern pattern;
+  load_class brief{"brief", "desk", 320, 60, 0.4, 250, 1500, 800,
+                   1,       0.3,    1,   1,  "",  0,   0};
+  load_class lengthy{"lengthy", "desk", 40, 480, 0.4, 1500, 4000, 2500,
+                     2,         0.3,    1,  1,   "",  0,    0};
+  brief.route = lengthy.route = "search";
+  lengthy.path = path;
+  pattern.classes = {brief, lengthy};
+  for (const double slowness : {0.7, 0.7, 1.6, 0.7, 0.7, 1.6}) {
+    load_upstream one;
+    one.service = "desk";
+    one.slowness = slowness;
+    one.slots = 6;
+    pattern.upstreams.push_back(one);
+  }
+  return pattern;
+}
+
 }  // namespace
 
 load_pattern CalmPattern() { return Base("calm", "nobody waits"); }
@@ -228,13 +249,28 @@
   return pattern;
 }
 
+load_pattern LookAlikesPattern() {
+  load_pattern pattern = MixedRoutePattern("/");
+  pattern.name = "look-alikes of unlike cost";
+  pattern.answers = "where no feature tells costs, none is assumed";
+  return pattern;
+}
+
+load_pattern TwoKindsPattern() {
+  load_pattern pattern = MixedRoutePattern("/all");
+  pattern.name = "two kinds, one long";
+  pattern.answers = "short calls don't wait behind long ones";
+  return pattern;
+}
+
 std::vector<load_pattern> AllPatterns() {
   return {CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
           BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
           RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
           FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern(),
           WideFleetPattern(),  UploadsPattern(),        LoadedZonePattern(),
-          LostZonePattern(),   ShortCalleePattern()};
+          LostZonePattern(),   ShortCalleePattern(),    LookAlikesPattern(),
+          TwoKindsPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/unit/cost_predictor_test.cc
+++ b/testing/unit/cost_predictor_test.cc
@@ -272,6 +272,19 @@
         doctest::Approx(300).epsilon(0.25));
 }
 
+TEST_CASE("the mean of an upstream's speed resists nonsense") {
+  speed_mean speed;
+  CHECK(speed.Value() == 1);
+  for (const double ratio : {0.0, -3.0, std::nan(""), HUGE_VAL, -HUGE_VAL}) {
+    speed.Observe(ratio);
+    CHECK(speed.Value() == 1);
+  }
+  speed.Observe(1e9);
+  CHECK(speed.Value() <= 10.5);
+  for (int i = 0; i < 600; ++i) speed.Observe(i % 2 == 0 ? 1.0 : 2.0);
+  CHECK(speed.Value() == doctest::Approx(1.5).epsilon(0.05));
+}
+
 // Callers choose paths; they must not be able to fill a daemon's memory.
 TEST_CASE("memory is bounded") {
   constexpr std::size_t kMostBytes = 64 * 1024;
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -8,17 +8,16 @@
 namespace pimentohall::testing {
 namespace {
 
-load_result Mean(const load_pattern& pattern) {
-  constexpr int kSeeds = 3;
+load_result Mean(const load_pattern& pattern, int seeds = 3) {
   load_result mean;
   mean.worst_window = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const load_result run = RunLoad(pattern, seed);
-    mean.worth += run.worth / kSeeds;
-    mean.served += run.served / kSeeds;
-    mean.worst_window += run.worst_window / kSeeds;
-    mean.held_in_vain += run.held_in_vain / kSeeds;
-    mean.far_bytes += run.far_bytes / kSeeds;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const load_result run = RunLoad(pattern, static_cast<std::uint64_t>(seed));
+    mean.worth += run.worth / seeds;
+    mean.served += run.served / seeds;
+    mean.worst_window += run.worst_window / seeds;
+    mean.held_in_vain += run.held_in_vain / seeds;
+    mean.far_bytes += run.far_bytes / seeds;
     for (const auto& [name, counts] : run.classes) {
       class_result& sum = mean.classes[name];
       sum.asked += counts.asked;
@@ -149,6 +148,33 @@
   }
 }
 
+// Costs by the mean of the route, against costs by call: the first must be
+// beaten where the path tells the costs, and must not win where nothing does.
+TEST_CASE("pattern: calls of unlike cost on one route") {
+  constexpr int kSeeds = 8;
+  for (load_pattern pattern : {LookAlikesPattern(), TwoKindsPattern()}) {
+    CAPTURE(pattern.name);
+    const load_result by_mean = Mean(pattern, kSeeds);
+    pattern.uses_cost_routing = true;
+    const load_result by_cost = Mean(pattern, kSeeds);
+    CHECK(by_cost.worth >= by_mean.worth + 0.004);
+    CHECK(by_cost.classes.at("brief").Served() >= 0.99);
+    CheckNoClassStarves(by_cost);
+  }
+}
+
+// Cost routing must not cost the patterns without such calls anything.
+TEST_CASE("patterns with cost routing") {
+  for (load_pattern pattern :
+       {BurstPattern(3), ScaleInPattern(), SlowMinorityPattern(),
+        RetryStormPattern(), GreyMinorityPattern()}) {
+    CAPTURE(pattern.name);
+    const load_result before = Mean(pattern);
+    pattern.uses_cost_routing = true;
+    CHECK(Mean(pattern).worth >= before.worth - 0.02);
+  }
+}
+
 TEST_CASE("a pattern is deterministic for a seed") {
   const load_result first = RunLoad(BurstPattern(3), 7);
   const load_result second = RunLoad(BurstPattern(3), 7);
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -587,12 +587,40 @@
   for (int i = 0; i < 12; ++i) {
     const auto best = picker.Pick(candidates, {}, {milliseconds(100)}, kStart);
     REQUIRE(best);
-    picker.OnSent(candidates[*best].id);
+    picker.OnSent(candidates[*best].id, duration{0});
     ++sent[candidates[*best].id];
   }
   for (const auto& [id, count] : sent) CHECK(count == 4);
 }
 
+// Guards against a choice by the number of calls: three long calls sent since
+// the last news are more work ahead than five short ones.
+TEST_CASE("the cost of calls sent since the last news counts as load") {
+  target_picker picker(3);
+  const target_picker::candidate few_long = {"a", 2, true, false};
+  const target_picker::candidate many_short = {"b", 2, true, false};
+  const auto report = [&picker] {
+    picker.OnNews({"a", 0, 0, 2, 0, 1}, kStart);
+    picker.OnNews({"b", 0, 0, 2, 0, 1}, kStart);
+  };
+  report();
+  for (int i = 0; i < 3; ++i) picker.OnSent("a", milliseconds(500));
+  for (int i = 0; i < 5; ++i) picker.OnSent("b", milliseconds(20));
+  call_profile call;
+  call.typical = milliseconds(100);
+  const auto score = [&](const target_picker::candidate& target) {
+    return picker.ScoreMs(target, call, kStart);
+  };
+  CHECK(score(few_long) < score(many_short));  // By count.
+  call.cost = milliseconds(100);
+  CHECK(score(few_long) > score(many_short));
+  const double before = score(many_short);
+  call.cost = milliseconds(200);
+  CHECK(score(many_short) > before + 90);
+  report();
+  CHECK(score(few_long) == score(many_short));
+}
+
 work_item Item(std::uint64_t id, int rank, duration aim, duration budget,
                duration expected) {
   work_item item;
