Keep the errors of a predictor's first runs out of its distribution

Change: errors count by the runs of the path shape, without the shrinkage of its effect; effects below the path are shrunk by 10 runs and forget within 48.

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -175,9 +175,11 @@
                  instant now) const;
   distribution Distribution(const cost_key& call, duration fallback,
                             instant now) const;
-  void LearnEffects(route_entry* route, const cost_key& call, double log_ms,
-                    instant now);
-  void LearnSpread(std::uint64_t key, double residual, instant now);
+  double LearnEffects(route_entry* route, const cost_key& call, double log_ms,
+                      instant now);
+  void LearnSpread(std::uint64_t key, double residual, double share,
+                   instant now);
+  double Maturity(const cost_key& call, instant now) const;
 
   std::vector<route_entry> routes_;
   std::vector<entry> effects_;
--- a/src/sched/cost_predictor.cc
+++ b/src/sched/cost_predictor.cc
@@ -18,14 +18,19 @@
 // A run counts at most as this many times more or less than predicted.
 const double kMaxLogStep = std::log(8.0);
 // And by this much for an effect, since up to four of them change at once.
-const double kMaxEffectStep = std::log(4.0);
+const double kMaxEffectStep = std::log(8.0);
 // Each run of a route lets its mean differ from the fallback by this factor.
 const double kTrustedPerRun = std::log(4.0);
 // Weight of the parent's value against the runs of an effect, and of the
 // fallback against the runs of a route.
-constexpr double kEffectPrior = 4;
+constexpr double kEffectPriors[] = {2, 10, 10, 10};
+// Number of runs that an effect is a mean over, at most. Effects that learned
+// from the errors of others early must forget that soon.
+constexpr double kMaxEffectWeight = 48;
 constexpr double kRoutePrior = 2;
-constexpr double kSpreadPrior = 20;
+constexpr double kSpreadPrior = 16;
+// Runs of a path shape after which errors count to a quarter.
+constexpr double kMaturePrior = 6;
 // A mean is over about this many runs, so that it follows a lasting change.
 constexpr double kMaxWeight = 128;
 constexpr double kMaxSpreadWeight = 400;
@@ -126,18 +131,18 @@
 
 // Adds a run to a mean that differs from it by `step`.
 template <typename Entry>
-void AddRun(Entry* mean, double step, instant now) {
-  const double weight = std::min(WeightAt(*mean, now), kMaxWeight - 1);
+void AddRun(Entry* mean, double step, double max_weight, instant now) {
+  const double weight = std::min(WeightAt(*mean, now), max_weight - 1);
   mean->mean += static_cast<float>(step / (weight + 1));
   mean->weight = static_cast<float>(weight + 1);
   mean->at = std::max(mean->at, now);
 }
 
 template <typename Entry>
-double Effect(const Entry* of, instant now) {
+double Effect(const Entry* of, std::size_t kind, instant now) {
   if (of == nullptr) return 0;
   const double weight = WeightAt(*of, now);
-  return of->mean * weight / (weight + kEffectPrior);
+  return of->mean * weight / (weight + kEffectPriors[kind]);
 }
 
 }  // namespace
@@ -158,7 +163,7 @@
   sum.log_mean = route.mean;
   sum.route_weight = WeightAt(route, now);
   for (std::size_t i = 0; i < cost_key::kEffects; ++i) {
-    sum.effects[i] = Effect(Find(effects_, call.effects[i]), now);
+    sum.effects[i] = Effect(Find(effects_, call.effects[i]), i, now);
     sum.log_mean += sum.effects[i] * route.trusts[i].Value();
   }
   return sum;
@@ -169,41 +174,60 @@
   const double log_ms = std::log(ToMs(work));
   route_entry& route = Take(&routes_, call.route, now);
   if (route.weight > 0) {
-    const double residual = log_ms - Sum(route, call, now).log_mean;
-    LearnSpread(call.route, residual, now);
-    LearnSpread(call.effects[cost_key::kPath], residual, now);
-    LearnEffects(&route, call, log_ms, now);
+    const double residual = LearnEffects(&route, call, log_ms, now);
+    const double share = Maturity(call, now);
+    LearnSpread(call.route, residual, share, now);
+    LearnSpread(call.effects[cost_key::kPath], residual, share, now);
   }
   const double step = log_ms - route.mean;
-  AddRun(&route, route.weight > 0 ? Clip(step, kMaxLogStep) : step, now);
+  AddRun(&route, route.weight > 0 ? Clip(step, kMaxLogStep) : step, kMaxWeight,
+         now);
 }
 
 // Each kind of effects learns what the kinds before it leave unexplained.
-void cost_predictor::LearnEffects(route_entry* route, const cost_key& call,
-                                  double log_ms, instant now) {
+// Returns what is left, without the shrinkage of the path's effect: until that
+// is learned, the shrinkage would be taken for a wide distribution.
+double cost_predictor::LearnEffects(route_entry* route, const cost_key& call,
+                                    double log_ms, instant now) {
   double left = log_ms - route->mean;
+  double residual = left;
   for (std::size_t i = 0; i < cost_key::kEffects; ++i) {
     entry& learned = Take(&effects_, call.effects[i], now);
-    const double effect = Effect(&learned, now);
+    const double effect = Effect(&learned, i, now);
     trust& trusted = route->trusts[i];
     trusted.explained =
         trusted.explained * kTrustDecay + static_cast<float>(left * effect);
     trusted.squares = trusted.squares * kTrustDecay +
                       static_cast<float>(effect * effect) + 1e-4F;
-    AddRun(&learned, Clip(left - learned.mean, kMaxEffectStep), now);
-    left -= Effect(&learned, now) * trusted.Value();
+    AddRun(&learned, Clip(left - learned.mean, kMaxEffectStep),
+           kMaxEffectWeight, now);
+    const double updated = Effect(&learned, i, now);
+    left -= updated * trusted.Value();
+    residual -=
+        (i == cost_key::kPath ? learned.mean : updated) * trusted.Value();
   }
+  return residual;
+}
+
+// The errors made while an effect is still being learned would widen the
+// distribution for long.
+double cost_predictor::Maturity(const cost_key& call, instant now) const {
+  const entry* const path = Find(effects_, call.effects[cost_key::kPath]);
+  if (path == nullptr) return 0;
+  const double weight = WeightAt(*path, now);
+  return std::pow(weight / (weight + kMaturePrior), 2);
 }
 
 void cost_predictor::LearnSpread(std::uint64_t key, double residual,
-                                 instant now) {
+                                 double share, instant now) {
   spread_entry& spread = Take(&spreads_, key, now);
   const double weight = std::min(WeightAt(spread, now), kMaxSpreadWeight - 1);
   const auto keep =
       static_cast<float>(spread.weight > 0 ? weight / spread.weight : 0);
   for (float& bin : spread.bins) bin *= keep;
-  spread.bins[BinOf(Clip(residual, kMaxLogStep), kBins)] += 1;
-  spread.weight = static_cast<float>(weight + 1);
+  spread.bins[BinOf(Clip(residual, kMaxLogStep), kBins)] +=
+      static_cast<float>(share);
+  spread.weight = static_cast<float>(weight + share);
   spread.at = std::max(spread.at, now);
 }
 
--- a/testing/unit/cost_predictor_test.cc
+++ b/testing/unit/cost_predictor_test.cc
@@ -125,6 +125,27 @@
   }
 }
 
+// An estimate far too high has calls refused before it is corrected. The errors
+// of the first runs once widened the distribution for long: after 20 runs, 200
+// ms were predicted as 1,459 ms.
+TEST_CASE("costs of unlike kinds aren't exceeded while they are learned") {
+  for (const int short_ms : {3, 20, 50}) {
+    cost_predictor costs;
+    instant now = kStart;
+    for (int i = 0; i < 100; ++i, now += milliseconds(20)) {
+      const bool is_long = i % 4 == 0;
+      const auto call = Call(is_long ? "/long/2" : "/brief/2");
+      const duration work = milliseconds(is_long ? 200 : short_ms);
+      const double predicted = ToMs(costs.Predict(call, kFallback, now).mean);
+      CAPTURE(short_ms);
+      CAPTURE(i);
+      if (is_long) CHECK(predicted <= 1.7 * ToMs(work));
+      if (i > 50) CHECK(predicted >= 0.8 * ToMs(work));
+      costs.Observe(call, work, now);
+    }
+  }
+}
+
 // Features that tell nothing must not be learned from chance: the error must
 // not exceed that of the mean of the route.
 TEST_CASE("costs that no feature tells are predicted as well as by the mean") {
