--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -2,8 +2,9 @@
 // mean over the seeds 1 to SEEDS (default 5).
 //
 // OPTIONS is a comma-separated list: a queue order (aim, newest, set, classes),
-// and the parts of overload control that are used (retries, gate, pacer); "on":
-// all as with the setting overload_control. Default: none.
+// the parts of overload control that are used (retries, gate, pacer), and
+// "cost" for cost routing; "on": all as with the setting overload_control.
+// Default: none.
 
 #include <cstdio>
 #include <cstdlib>
@@ -26,7 +27,8 @@
   static const std::map<std::string, bool load_options::*> kParts = {
       {"retries", &load_options::aims_of_retries},
       {"gate", &load_options::gate},
-      {"pacer", &load_options::pacer}};
+      {"pacer", &load_options::pacer},
+      {"cost", &load_options::cost}};
   load_options options;
   std::istringstream words(text);
   for (std::string word; std::getline(words, word, ',');) {
@@ -94,7 +96,8 @@
   }
   std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
               "worst", "wait ms", "in vain", "in aim + late, by kind");
-  for (const auto& pattern : pimentohall::testing::AllPatterns()) {
+  for (auto pattern : pimentohall::testing::AllPatterns()) {
+    pattern.uses_cost_routing = options->cost;
     pimentohall::testing::PrintPattern(pattern, seeds, *options);
   }
   return 0;
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -37,6 +37,8 @@
   int nested_times = 0;     // One after the other.
   double nested_share = 0;  // Of its calls that make them.
   double bytes = 0;         // Of each request, on the way to the upstream.
+  std::string route = {};   // Empty: its name.
+  std::string path = "/";
 };
 
 struct load_upstream {
@@ -73,6 +75,7 @@
   // Retry-After of a call for which no upstream takes calls; daemons: 250 ms.
   double no_upstream_ms = 0;
   double length_s = 30;
+  bool uses_cost_routing = false;
 };
 
 struct class_result {
@@ -106,6 +109,7 @@
   bool aims_of_retries = false;  // A retry's aim counts from the first attempt.
   bool gate = false;             // Ingresses refuse by the rank limits.
   bool pacer = false;            // Refused callers return one after the other.
+  bool cost = false;             // With cost routing.
 };
 // As a daemon with the setting `overload_control`.
 load_options OverloadControl();
@@ -136,6 +140,8 @@
 // No upstream takes calls from 10 s until then.
 inline constexpr double kAllBackS = 10.4;
 load_pattern AllComeBackPattern();
+load_pattern LookAlikesPattern();
+load_pattern TwoKindsPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
