Add upstream_monitor: speed, pace and usable slots of an upstream

Cause: the egress knows neither how fast its upstream is at the moment nor how many calls it really holds. The adapter dropped the fourth figure of the load header.

Change: sched::upstream_monitor learns the lasting speed from answered runs, corrected by the paces reported during each run, keeps the momentary pace for some hundred milliseconds, and derives the usable slots from the reported counts and the cancelled calls. Counts that a call disproves are not used for a while. The adapter reads the pace, from health answers too.

Before/after: none; no decision uses it yet.

Conclusion: tests pass (build/unit_tests -sf='*upstream_monitor_test*,*platform_test*').

--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -100,9 +100,7 @@
   std::string id;               // Id of the request; empty: not reported.
   bool not_run = false;         // The upstream refused it.
   bool wrong_instance = false;  // Another start uses the address; not run.
-  std::optional<int> running;
-  std::optional<int> waiting;
-  std::optional<int> slots;
+  sched::upstream_report load;
 };
 
 // What an upstream's health check reports.
@@ -110,6 +108,7 @@
   bool healthy = false;  // The egress ignores it.
   std::string upstream;
   duration warmup_left{0};
+  sched::upstream_report load;
 };
 
 // Translates between the platform's HTTP headers and typed values. Stateless.
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -215,16 +215,35 @@
   CHECK(answer.not_run);
   CHECK_FALSE(answer.wrong_instance);
   CHECK(answer.id == "abc");
-  CHECK(answer.running == 3);
-  CHECK(answer.slots == 9);
+  CHECK(answer.load.running == 3);
+  CHECK(answer.load.slots == 9);
+  CHECK_FALSE(answer.load.pace_percent);
   shed.headers = {{"X-Instance-Load", "3,x"}};
-  CHECK(dialect->ReadAnswer(shed).running == 3);
-  CHECK_FALSE(dialect->ReadAnswer(shed).waiting);
+  CHECK(dialect->ReadAnswer(shed).load.running == 3);
+  CHECK_FALSE(dialect->ReadAnswer(shed).load.waiting);
   CHECK_FALSE(dialect->ReadAnswer(shed).not_run);
   shed.status = 421;
   CHECK(dialect->ReadAnswer(shed).wrong_instance);
   CHECK(dialect->ReadAnswer(shed).not_run);
 
+  // An unreadable figure must not hide the readable ones before it.
+  const std::pair<const char*, sched::upstream_report> loads[] = {
+      {"3,1,9,250", {3, 1, 9, 250}},
+      {"3,1,9,", {3, 1, 9, {}}},
+      {"3,1,9,-5", {3, 1, 9, {}}},
+      {"3,1,9,nan", {3, 1, 9, {}}},
+      {"3,1,9,99999999999999999999", {3, 1, 9, {}}},
+      {"3,1,9,250,7", {3, 1, 9, 250}},
+      {"", {}}};
+  for (const auto& [text, load] : loads) {
+    CAPTURE(text);
+    shed.headers = {{"X-Instance-Load", text}};
+    CHECK(dialect->ReadAnswer(shed).load == load);
+    net::http_answer health;
+    health.headers = shed.headers;
+    CHECK(dialect->ReadHealth(health).load == load);
+  }
+
   net::header_list refusal;
   dialect->WriteRetryAfter(milliseconds(250), &refusal);
   CHECK(net::FindHeader(refusal, "Retry-After") == "0.250");
