Let the picker use the pace, and age reports with cost routing

Cause: the picker trusted the last report however old it was, sent any number of calls to a free upstream of another zone between two reports, and changed zones with every report.

Change: the score uses slowness x pace; the pace decays to 1 within some hundred milliseconds. With cost routing, reports lose their weight after 1 s, a daemon fills at most a quarter of a far upstream's slots between two reports, and a far upstream in use needs a smaller advantage than a new one.

Before/after: in the test with reports that swing around the limit, 40 reports cause more than 10 changes of zone without and at most 1 with cost routing.

Conclusion: without a reported pace and without cost routing, scores are as before (build/unit_tests -sf='*mesh_test*').

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -519,10 +519,24 @@
 // daemon on each one's VM last reported, the calls sent there since, the
 // upstream's speed, the time that calls spent on the way there, and its recent
 // failures. A call to another zone costs more the more bytes it carries.
+//
+// A reported pace counts for some hundred milliseconds, so that an upstream
+// whose machine is busy is avoided from its first answer on, and is soon tried
+// again. With cost routing (`SetCostRouting`):
+//   - Reports that aren't renewed lose their weight: what they say about the
+//     load first, what they say about the speed later.
+//   - An upstream of another zone gets a bounded number of calls of this daemon
+//     between two of its reports, as the other daemons see it free as well. The
+//     bound doesn't apply if no other candidate is left.
+//   - An upstream of another zone that isn't used at present needs a larger
+//     advantage than one that is, so that calls don't change zones with every
+//     report.
 class target_picker {
  public:
   explicit target_picker(std::uint64_t seed) : random_(seed | 1) {}
 
+  void SetCostRouting(bool on) { cost_routing_ = on; }
+
   struct candidate {
     std::string id;
     int slots = 1;
@@ -560,12 +574,22 @@
     instant backoff_until{};
     double transit_ms = 0;  // Decaying mean at `transit_at`.
     instant transit_at{};
+    // Last time that `Pick` chose it although it is in another zone.
+    std::optional<instant> far_pick_at;
   };
+  // The last report, as far as it still counts.
+  load_news WeightedNews(const state& target, instant now) const;
+  // Added to the score of an upstream in another zone.
+  double FarCostMs(const state& target, const call_profile& call,
+                   instant now) const;
+  // This daemon has sent it as many calls since its last report as it may.
+  bool IsAtFarBound(const candidate& target) const;
   double FailureShare(const state& target, instant now) const;
   double TransitMs(const state& target, instant now) const;
   std::uint64_t Random();
 
   std::uint64_t random_;
+  bool cost_routing_ = false;
   std::unordered_map<std::string, state> states_;
 };
 
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -19,6 +19,21 @@
 // And for each kilobyte that the call carries: traffic between zones is
 // expensive, and its links are shared.
 constexpr double kFarMsPerKb = 5;
+// The same with cost routing. The difference is more than twice `kDrawShare`;
+// with a smaller one, the draw alone would make calls change zones.
+constexpr double kFarShareInUse = 0.25;
+constexpr double kFarShareNotInUse = 0.75;
+// An upstream is in use for this long after a pick: as long as the usual time
+// between two reports of a daemon in another zone.
+constexpr duration kFarUse = std::chrono::milliseconds(600);
+// Share of the slots of an upstream in another zone that this daemon may fill
+// between two reports; at least one call.
+constexpr double kMaxFarSlotShare = 0.25;
+// Reports are renewed at least this often while their daemon runs. Older ones
+// lose half of their weight in the half-lives below.
+constexpr duration kFreshReport = std::chrono::seconds(1);
+constexpr duration kLoadHalfLife = std::chrono::milliseconds(500);
+constexpr duration kSlownessHalfLife = std::chrono::seconds(5);
 // Weight of the newest call in the moving average of the transit time.
 constexpr double kTransitWeight = 0.3;
 // The mean transit time halves in this time without calls, so that an upstream
@@ -88,6 +103,46 @@
   return target.transit_ms * std::exp2(-age.count() / kTransitHalfLifeS);
 }
 
+load_news target_picker::WeightedNews(const state& target, instant now) const {
+  load_news weighted = target.last;
+  const duration age = now - target.reported_at;
+  weighted.pace = sched::DecayedPace(target.last.pace, age);
+  if (!cost_routing_ || age <= kFreshReport) return weighted;
+  const auto weight = [age](duration half_life) {
+    const std::chrono::duration<double> excess = age - kFreshReport;
+    const std::chrono::duration<double> half = half_life;
+    return std::exp2(-excess / half);
+  };
+  const double load = weight(kLoadHalfLife);
+  weighted.running = static_cast<int>(target.last.running * load);
+  weighted.queued = static_cast<int>(target.last.queued * load);
+  weighted.backlog_ms *= load;
+  weighted.slowness =
+      1 + (target.last.slowness - 1) * weight(kSlownessHalfLife);
+  return weighted;
+}
+
+double target_picker::FarCostMs(const state& target, const call_profile& call,
+                                instant now) const {
+  constexpr double kBytesPerKb = 1000;
+  const bool is_in_use =
+      target.far_pick_at && now - *target.far_pick_at <= kFarUse;
+  const double share = !cost_routing_
+                           ? kFarShare
+                           : (is_in_use ? kFarShareInUse : kFarShareNotInUse);
+  const double typical_ms =
+      std::chrono::duration<double, std::milli>(call.typical).count();
+  return kFarMs + share * typical_ms + kFarMsPerKb * call.bytes / kBytesPerKb;
+}
+
+bool target_picker::IsAtFarBound(const candidate& target) const {
+  if (!cost_routing_ || target.is_near) return false;
+  const auto found = states_.find(target.id);
+  if (found == states_.end()) return false;
+  const double bound = std::max(1.0, kMaxFarSlotShare * target.slots);
+  return found->second.sent_since >= bound;
+}
+
 double target_picker::ScoreMs(const candidate& target, const call_profile& call,
                               instant now) const {
   constexpr double kBytesPerKb = 1000;
@@ -96,23 +151,20 @@
   const auto found = states_.find(target.id);
   const state unknown;
   const state& known = found == states_.end() ? unknown : found->second;
-  const double slots =
-      std::max(1, known.last.slots > 0 ? known.last.slots : target.slots);
-  double call_ms = typical_ms * std::max(0.1, known.last.slowness);
+  const load_news news = WeightedNews(known, now);
+  const double slots = std::max(1, news.slots > 0 ? news.slots : target.slots);
+  double call_ms = typical_ms * std::max(0.1, news.slowness) * news.pace;
   if (target.is_cold) call_ms *= kColdFactor;
-  const double load = known.last.running + known.last.queued + known.sent_since;
+  const double load = news.running + news.queued + known.sent_since;
   const double excess = std::max(0.0, load + 1 - slots);
   const double wait_ms =
-      excess > 0 ? std::max(known.last.backlog_ms, excess / slots * call_ms)
-                 : 0;
+      excess > 0 ? std::max(news.backlog_ms, excess / slots * call_ms) : 0;
   const double utilisation = std::min(1.0, load / slots);
   return wait_ms +
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
          kFailureCost * typical_ms * FailureShare(known, now) +
          TransitMs(known, now) * (1 + call.bytes / (kTransitKb * kBytesPerKb)) +
-         (target.is_near ? 0
-                         : kFarMs + kFarShare * typical_ms +
-                               kFarMsPerKb * call.bytes / kBytesPerKb);
+         (target.is_near ? 0 : FarCostMs(known, call, now));
 }
 
 std::optional<std::size_t> target_picker::Pick(
@@ -120,13 +172,16 @@
     const std::vector<std::string>& tried, const call_profile& call,
     instant now) {
   std::vector<std::pair<double, std::size_t>> scored;
+  std::vector<std::pair<double, std::size_t>> bounded;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::string& id = candidates[i].id;
     if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
     const auto found = states_.find(id);
     if (found != states_.end() && found->second.backoff_until > now) continue;
-    scored.emplace_back(ScoreMs(candidates[i], call, now), i);
+    auto& list = IsAtFarBound(candidates[i]) ? bounded : scored;
+    list.emplace_back(ScoreMs(candidates[i], call, now), i);
   }
+  if (scored.empty()) scored = std::move(bounded);
   if (scored.empty()) return std::nullopt;
   std::sort(scored.begin(), scored.end());
   const double typical_ms =
@@ -134,7 +189,12 @@
   const double limit = scored.front().first + kDrawShare * typical_ms;
   std::size_t pool = 1;
   while (pool < scored.size() && scored[pool].first <= limit) ++pool;
-  return scored[std::min(Random() % pool, Random() % pool)].second;
+  const std::size_t picked =
+      scored[std::min(Random() % pool, Random() % pool)].second;
+  if (cost_routing_ && !candidates[picked].is_near) {
+    states_[candidates[picked].id].far_pick_at = now;
+  }
+  return picked;
 }
 
 void time_estimator::Observe(const std::string& key, duration took,
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -593,6 +593,104 @@
   for (const auto& [id, count] : sent) CHECK(count == 4);
 }
 
+// An upstream whose machine is busy is avoided after one report, and must be
+// tried again soon after the stall. A pace has effect without cost routing too.
+TEST_CASE("the picker avoids an upstream of a bad pace for a short time") {
+  const std::vector<target_picker::candidate> targets = {{"a", 6, true, false},
+                                                         {"b", 6, true, false}};
+  target_picker picker(1);
+  load_news news{"a", 1, 0, 6, 0, 1};
+  news.pace = 2.5;
+  picker.OnNews(news, kStart);
+  picker.OnNews({"b", 2, 0, 6, 0, 1}, kStart);
+  const call_profile call{milliseconds(100)};
+  const auto prefers_a = [&](instant at) {
+    return picker.ScoreMs(targets[0], call, at) <
+           picker.ScoreMs(targets[1], call, at);
+  };
+  CHECK(picker.Pick(targets, {}, call, kStart) == std::size_t{1});
+  CHECK_FALSE(prefers_a(kStart + milliseconds(100)));
+  CHECK(prefers_a(kStart + milliseconds(900)));
+}
+
+// The reports of a daemon that was lost kept calls away from its upstream, or
+// drew them there, for as long as the other daemons remembered them.
+TEST_CASE("with cost routing, a report that isn't renewed loses its weight") {
+  const target_picker::candidate target{"a", 6, true, false};
+  const call_profile call{milliseconds(100)};
+  const double unknown = target_picker(1).ScoreMs(target, call, kStart);
+  for (const bool on : {false, true}) {
+    CAPTURE(on);
+    target_picker picker(1);
+    picker.SetCostRouting(on);
+    picker.OnNews({"a", 6, 12, 6, 400, 2}, kStart);
+    const auto score_after = [&](duration age) {
+      return picker.ScoreMs(target, call, kStart + age);
+    };
+    const double fresh = score_after(duration{0});
+    CHECK(fresh > 4 * unknown);
+    CHECK(score_after(milliseconds(900)) == doctest::Approx(fresh));
+    CHECK((score_after(seconds(4)) < 2.5 * unknown) == on);
+    CHECK((score_after(seconds(40)) < 1.1 * unknown) == on);
+  }
+}
+
+// All daemons of a loaded zone see the same free upstream in another zone, and
+// sent it their calls until its next report.
+TEST_CASE("with cost routing, a daemon sends few calls to a far upstream") {
+  const std::vector<target_picker::candidate> targets = {
+      {"near", 8, true, false}, {"far", 8, false, false}};
+  const call_profile call{milliseconds(100)};
+  target_picker picker(1);
+  picker.SetCostRouting(true);
+  picker.OnNews({"near", 8, 30, 8, 500, 1}, kStart);
+  picker.OnNews({"far", 0, 0, 8, 0, 1}, kStart);
+  const auto count_far = [&] {
+    int far = 0;
+    for (int i = 0; i < 8; ++i) {
+      const auto picked = picker.Pick(targets, {}, call, kStart);
+      REQUIRE(picked);
+      picker.OnSent(targets[*picked].id);
+      if (*picked == 1) ++far;
+    }
+    return far;
+  };
+  CHECK(count_far() == 2);
+  CHECK(count_far() == 0);
+  // The call has no other place to go.
+  CHECK(picker.Pick(targets, {"near"}, call, kStart) == std::size_t{1});
+  picker.OnNews({"far", 2, 0, 8, 0, 1}, kStart);
+  CHECK(count_far() == 2);
+}
+
+// Reports that swing around the limit made calls change zones with each.
+TEST_CASE("with cost routing, calls don't change zones with every report") {
+  const std::vector<target_picker::candidate> targets = {
+      {"near", 8, true, false}, {"far", 8, false, false}};
+  const call_profile call{milliseconds(100)};
+  const auto count_changes = [&](bool on) {
+    target_picker picker(1);
+    picker.SetCostRouting(on);
+    std::size_t last = 0;
+    int changes = 0;
+    for (int i = 0; i < 40; ++i) {
+      const instant now = kStart + i * milliseconds(300);
+      // The near upstream is 53 ms or 103 ms slower than the far one. The cost
+      // of another zone is 53 ms; with cost routing, 28 ms or 78 ms.
+      const double wait_ms = i % 2 == 0 ? 18 : 68;
+      picker.OnNews({"near", 8, 0, 8, wait_ms, 1}, now);
+      picker.OnNews({"far", 0, 0, 8, 0, 1}, now);
+      const auto picked = picker.Pick(targets, {}, call, now);
+      REQUIRE(picked);
+      if (*picked != last) ++changes;
+      last = *picked;
+    }
+    return changes;
+  };
+  CHECK(count_changes(false) > 10);
+  CHECK(count_changes(true) <= 1);
+}
+
 work_item Item(std::uint64_t id, int rank, duration aim, duration budget,
                duration expected) {
   work_item item;
