Bound the started calls by the upstream's own counts

Cause: an upstream shed calls although its egress believed that a slot was free. The egress frees the slot of a cancelled run at once, and the upstream goes on with the run; each cancelled call is then replaced by one that waits inside the upstream until its queue is full.

Change: the egress feeds upstream_monitor from answers and health checks, asks for the load after a cancellation, and starts calls up to UsableSlots, under overload_control or cost_routing. Under cost_routing, expected times are typical x speed x pace, and the load report carries the speed. The pace is reported in any case. Gauges, log fields and the state page show the values.

Before/after: in the new node test, with 60 calls that wait for less time than a run takes, the upstream sheds calls and has more than 2 waiting with the switches off; none and at most 2 with them on.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -27,6 +27,8 @@
 // How often an upstream that isn't known to be up is probed.
 constexpr duration kDownProbePeriod = milliseconds(250);
 constexpr duration kTickPeriod = milliseconds(100);
+// Shortest time between two health checks for the upstream's load figures.
+constexpr duration kLoadProbePeriod = milliseconds(50);
 // A queued call expires this long before its deadline, so that the answer
 // arrives before its ingress gives up.
 constexpr duration kAnswerMargin = milliseconds(10);
@@ -211,10 +213,16 @@
 }
 
 duration egress::ExpectedTime(const call_header& call) const {
+  const instant now = fleet_.loop.Now();
+  if (fleet_.UsesCostRouting()) {
+    return std::chrono::duration_cast<duration>(
+        milliseconds(call.typical_ms) *
+        (monitor_.Speed(now) * monitor_.Pace(now)));
+  }
   const auto usual = std::chrono::duration<double, std::milli>(
       static_cast<double>(call.typical_ms) * slowness_);
   return times_.Expect(call.route, std::chrono::duration_cast<duration>(usual),
-                       fleet_.loop.Now());
+                       now);
 }
 
 duration egress::RunningWork(instant now) const {
@@ -238,10 +246,14 @@
   return item;
 }
 
-duration egress::WorkAhead(instant now) const {
+duration egress::WorkAhead(const call& call, instant now) const {
   const bool has_free_slot =
-      static_cast<int>(running_.size()) < upstream_->slots;
-  return has_free_slot ? duration{0} : RunningWork(now);
+      static_cast<int>(running_.size()) < UsableSlots(now);
+  if (has_free_slot) return duration{0};
+  if (!BoundsSlots()) return RunningWork(now);
+  // Hidden calls are assumed to be like this one, and half done.
+  return RunningWork(now) +
+         ExpectedTime(call.info) * monitor_.HiddenCalls(now) / 2;
 }
 
 // Refuses a call with a large body before the body is sent, if it can.
@@ -252,8 +264,8 @@
     Refuse(call, reason, kIngressRetryAfter);
     return;
   }
-  const auto checked =
-      queue_.Check(WorkItem(*call), upstream_->slots, WorkAhead(now), now);
+  const auto checked = queue_.Check(WorkItem(*call), upstream_->slots,
+                                    WorkAhead(*call, now), now);
   if (!checked) {
     Refuse(call, checked.error().why, checked.error().retry_after);
     return;
@@ -274,8 +286,8 @@
     Refuse(call, reason, kIngressRetryAfter);
     return;
   }
-  const auto pushed =
-      queue_.Push(WorkItem(*call), upstream_->slots, WorkAhead(now), now);
+  const auto pushed = queue_.Push(WorkItem(*call), upstream_->slots,
+                                  WorkAhead(*call, now), now);
   if (!pushed) {
     Refuse(call, pushed.error().why, pushed.error().retry_after);
     return;
@@ -299,7 +311,7 @@
   // Until the upstream has answered once, it isn't known whether it is cold.
   if (state_ == upstream_state::kUnknown) return;
   while (queue_.Size() > 0 &&
-         static_cast<int>(running_.size()) < upstream_->slots) {
+         static_cast<int>(running_.size()) < UsableSlots(now)) {
     if (!gate_.Take(now)) break;
     const auto next = queue_.Pop(now);
     const call_ptr call = calls_.at(next->id);
@@ -337,7 +349,7 @@
   instant wake = instant::max();
   if (const auto expiry = queue_.NextExpiry()) wake = *expiry;
   const bool has_slot =
-      upstream_ && static_cast<int>(running_.size()) < upstream_->slots;
+      upstream_ && static_cast<int>(running_.size()) < UsableSlots(now);
   if (queue_.Size() > 0 && has_slot) wake = std::min(wake, gate_.NextAt(now));
   if (wake == wake_at_) return;
   wake_at_ = wake;
@@ -401,6 +413,7 @@
     Refuse(call, core::reason::kOverloaded, kIngressRetryAfter);
     return;
   }
+  monitor_.OnStarted(upstream_->slots, now);
   running_[call->id] = call;
   fleet_.repeats.OnRunStarted(call->id, call->info.repeat);
   fleet_.metrics.ObserveQueueWait(now - call->received);
@@ -418,6 +431,28 @@
   fleet_.repeats.OnRunEnded(call.id);
 }
 
+bool egress::BoundsSlots() const {
+  return fleet_.UsesOverloadControl() || fleet_.UsesCostRouting();
+}
+
+int egress::UsableSlots(instant now) const {
+  if (!upstream_) return 0;
+  return BoundsSlots() ? monitor_.UsableSlots(upstream_->slots, now)
+                       : upstream_->slots;
+}
+
+void egress::OnAbandoned(instant now) {
+  if (!BoundsSlots()) return;
+  monitor_.OnAbandoned(now);
+  if (now - probed_at_ >= kLoadProbePeriod) Probe();
+}
+
+void egress::RecheckSlots(instant now) {
+  if (!upstream_ || queue_.Size() == 0 || !BoundsSlots()) return;
+  if (UsableSlots(now) < upstream_->slots) Probe();
+  StartQueuedCalls();
+}
+
 void egress::RefuseOvertaken() {
   if (!upstream_ || queue_.Size() == 0) return;
   const instant now = fleet_.loop.Now();
@@ -443,6 +478,7 @@
     if (call->exchange) call->exchange->Cancel();
     call->exchange = nullptr;
     RemoveRunning(*call);
+    OnAbandoned(now);
     LogEnd(*call, outcome::kMayHaveRun, core::reason::kDeadline);
     RemoveCall(call);
     server_.Abort(call->inbound);
@@ -457,6 +493,7 @@
   attempts_.Expire(now);
   ExpireCrashNews(now);
   EndOverdueCalls(now);
+  RecheckSlots(now);
   RefuseOvertaken();
   const bool should_probe = state_ != upstream_state::kUp;
   if (should_probe && now - probed_at_ >= kDownProbePeriod) Probe();
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -10,7 +10,10 @@
 // that answer. An upstream's answer counts only if it names the request: an
 // earlier answer, a refusal above all, may arrive again on a connection that is
 // in use by the next request. When the link to an attempt's ingress closes, the
-// attempt is removed from the queue, or cancelled if it runs.
+// attempt is removed from the queue, or cancelled if it runs. An upstream may
+// go on with a cancelled run, which then takes one of its slots: with overload
+// control or cost routing, no more calls are started than
+// `sched::upstream_monitor` finds room for.
 
 #include <cstdint>
 #include <functional>
@@ -50,6 +53,9 @@
   const stream::server& Server() const { return server_; }
 
   std::optional<mesh::load_news> Load() const;
+  const sched::upstream_monitor& Monitor() const { return monitor_; }
+  // Calls that may run at the upstream at present; 0: no upstream.
+  int UsableSlots(instant now) const;
   // Recent crash reports, to be sent to the other daemons.
   std::vector<core::crash_report> CrashNews() const;
   void OnCrashNews(const core::crash_report& report);
@@ -76,11 +82,16 @@
   void Enqueue(const call_ptr& call);
   mesh::work_item WorkItem(const call& call) const;
   // Expected remaining time of the running calls; 0 if a slot is free.
-  duration WorkAhead(instant now) const;
+  duration WorkAhead(const call& call, instant now) const;
   // Starts queued calls while the upstream has free slots.
   void StartQueuedCalls();
   void StartCall(const call_ptr& call);
   void RemoveRunning(const call& call);
+  bool BoundsSlots() const;
+  // The upstream may go on with a call that was cancelled or failed.
+  void OnAbandoned(instant now);
+  // Starts queued calls when slots become usable without an answer.
+  void RecheckSlots(instant now);
   duration ExpectedTime(const call_header& call) const;
   duration RunningWork(instant now) const;
 
@@ -131,6 +142,7 @@
   mesh::warmup_gate gate_;
   mesh::time_estimator times_;
   double slowness_ = 1;
+  sched::upstream_monitor monitor_;
   instant wake_at_ = instant::max();
   sigc::connection wake_timer_;
   sigc::connection tick_timer_;
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -1,6 +1,7 @@
 // Handles the upstream's answers and ends calls.
 
 #include <algorithm>
+#include <cstdio>
 
 #include "node/egress_call.h"
 
@@ -12,12 +13,24 @@
 // Weight of the newest call in the moving average of the slowness.
 constexpr double kNewestCallWeight = 0.08;
 
+// A factor with two decimals, for log fields.
+std::string FactorText(double factor) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", factor);
+  return text;
+}
+
 }  // namespace
 
 void egress::OnAnswerHead(const call_ptr& call, stream::message_head head) {
   call->answer_info = fleet_.dialect.ReadAnswer(head);
   call->answer = std::move(head);
   DropFleetHeaders(&call->answer.headers);
+  if (upstream_ && upstream_->id == call->upstream &&
+      !call->answer_info.wrong_instance) {
+    monitor_.OnReport(call->answer_info.load, static_cast<int>(running_.size()),
+                      fleet_.loop.Now());
+  }
   OnUpstreamUp();
   const bool is_large = call->answer.framing == stream::body_framing::kLength &&
                         call->answer.length > kMaxBufferedAnswerBytes;
@@ -60,6 +73,7 @@
                                         static_cast<double>(typical.count()),
                                     0.05, 20.0);
     slowness_ += kNewestCallWeight * (ratio - slowness_);
+    if (!gate_.IsCold(now)) monitor_.OnRun(took, typical, now);
   }
   fleet_.metrics.ObserveUpstream(OutcomeName(result), took);
   if (call->streams_answer) {
@@ -129,6 +143,7 @@
     RemoveCall(call);
     server_.Abort(call->inbound);
     RecordLostCall(*call);
+    OnAbandoned(now);
     StartQueuedCalls();
     return;
   }
@@ -139,6 +154,7 @@
   } else {
     SendOutcome(call, outcome::kMayHaveRun, core::reason::kConnectionLost, {});
     RecordLostCall(*call);
+    OnAbandoned(now);
   }
   StartQueuedCalls();
 }
@@ -186,7 +202,11 @@
        {"budget_ms", MsText(call.deadline - call.received)},
        {"aim_ms", MsText(call.aim_at - call.received)},
        {"running", std::to_string(running_.size())},
-       {"queued", std::to_string(queue_.Size())}});
+       {"queued", std::to_string(queue_.Size())},
+       {"usable_slots", std::to_string(UsableSlots(now))},
+       {"hidden", std::to_string(monitor_.HiddenCalls(now))},
+       {"speed", FactorText(monitor_.Speed(now))},
+       {"pace", FactorText(monitor_.Pace(now))}});
 }
 
 void egress::RemoveCall(const call_ptr& call) {
@@ -205,6 +225,7 @@
   RemoveRunning(*call);
   if (call->exchange) call->exchange->Cancel();
   call->exchange = nullptr;
+  if (ran) OnAbandoned(fleet_.loop.Now());
   LogEnd(*call, ran ? outcome::kMayHaveRun : outcome::kNotRun,
          core::reason::kCancelled);
   RemoveCall(call);
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -48,6 +48,7 @@
               {"cold_ms", MsText(std::max(duration{0}, cold_left))},
               {"revision", std::to_string(upstream_->revision)}});
     slowness_ = 1;
+    monitor_ = {};
     pool_.CloseIdle(endpoint);
     state_ = upstream_state::kUnknown;
     Probe();
@@ -108,6 +109,8 @@
 
 void egress::OnHealth(const health_answer& health) {
   if (health.warmup_left.count() > 0) SetCold(health.warmup_left);
+  monitor_.OnReport(health.load, static_cast<int>(running_.size()),
+                    fleet_.loop.Now());
   OnUpstreamUp();
   StartQueuedCalls();
 }
@@ -189,13 +192,15 @@
   mesh::load_news load;
   load.upstream = upstream_->id;
   load.running = static_cast<int>(running_.size());
+  if (BoundsSlots()) load.running += monitor_.HiddenCalls(now);
   load.queued = static_cast<int>(queue_.Size());
   const bool accepts_calls =
       state_ != upstream_state::kDown && !upstream_->draining && !stopping_;
   load.slots = accepts_calls ? upstream_->slots : 0;
   load.backlog_ms = static_cast<double>(ToWholeMs(
       (queue_.Work() + RunningWork(now)) / std::max(1, upstream_->slots)));
-  load.slowness = slowness_;
+  load.slowness = fleet_.UsesCostRouting() ? monitor_.Speed(now) : slowness_;
+  load.pace = monitor_.Pace(now);
   return load;
 }
 
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -267,6 +267,7 @@
     return;
   }
   const auto candidates = Candidates(*call, now);
+  fleet_.picker.SetCostRouting(fleet_.UsesCostRouting());
   mesh::call_profile profile;
   profile.typical = fleet_.TypicalTime(*call->route);
   profile.bytes = std::max(fleet_.carried.Expect(call->route->name),
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -494,6 +494,10 @@
     gauges.peers = fleet_.peers.CountHeard(now);
     gauges.running = egress_.Running();
     gauges.queued = egress_.Queued();
+    gauges.speed = egress_.Monitor().Speed(now);
+    gauges.pace = egress_.Monitor().Pace(now);
+    gauges.usable_slots = egress_.UsableSlots(now);
+    gauges.hidden_calls = egress_.Monitor().HiddenCalls(now);
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     for (const auto& [name, server] : Listeners()) {
       fleet_.metrics.SetListener({name, server->Connections(),
@@ -535,6 +539,10 @@
     }
     state["running"] = egress_.Running();
     state["queued"] = egress_.Queued();
+    state["speed"] = egress_.Monitor().Speed(now);
+    state["pace"] = egress_.Monitor().Pace(now);
+    state["usable_slots"] = egress_.UsableSlots(now);
+    state["hidden_calls"] = egress_.Monitor().HiddenCalls(now);
     return state.dump(1);
   }
 
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -77,7 +77,16 @@
                         "Since the source last answered.")),
       peers_(Gauge("pimentohall_peers", "Other daemons heard.")),
       running_(Gauge("pimentohall_running", "Calls at the upstream.")),
-      queued_(Gauge("pimentohall_queued", "Calls that wait for it.")) {}
+      queued_(Gauge("pimentohall_queued", "Calls that wait for it.")),
+      speed_(Gauge("pimentohall_upstream_speed",
+                   "Time of work at the upstream / usual in the service.")),
+      pace_(Gauge("pimentohall_upstream_pace",
+                  "Momentary time of work at the upstream / usual there.")),
+      usable_slots_(Gauge("pimentohall_usable_slots",
+                          "Calls that may run at the upstream.")),
+      hidden_calls_(Gauge("pimentohall_hidden_calls",
+                          "Calls at the upstream that aren't counted as "
+                          "running, such as cancelled ones.")) {}
 
 void node_metrics::CountCall(const std::string& route, int status,
                              const char* source, const char* reason,
@@ -146,6 +155,10 @@
   peers_->Set(static_cast<double>(values.peers));
   running_->Set(static_cast<double>(values.running));
   queued_->Set(static_cast<double>(values.queued));
+  speed_->Set(values.speed);
+  pace_->Set(values.pace);
+  usable_slots_->Set(values.usable_slots);
+  hidden_calls_->Set(values.hidden_calls);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -48,6 +48,10 @@
     std::size_t peers = 0;
     std::size_t running = 0;
     std::size_t queued = 0;
+    double speed = 1;  // Of this VM's upstream.
+    double pace = 1;
+    int usable_slots = 0;
+    int hidden_calls = 0;
   };
   std::string Render(const gauges& values);
 
@@ -80,6 +84,10 @@
   prometheus::Gauge* peers_;
   prometheus::Gauge* running_;
   prometheus::Gauge* queued_;
+  prometheus::Gauge* speed_;
+  prometheus::Gauge* pace_;
+  prometheus::Gauge* usable_slots_;
+  prometheus::Gauge* hidden_calls_;
 };
 
 }  // namespace pimentohall::node
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -63,6 +63,7 @@
     head.status = status;
     head.headers = std::move(headers);
     if (!id.empty()) head.headers.emplace_back("X-Attempt-Id", id);
+    if (load) head.headers.emplace_back("X-Instance-Load", load());
     head.framing = stream::body_framing::kLength;
     head.length = text.size();
     conn->SendHead(head);
@@ -81,6 +82,7 @@
   std::function<void(const std::shared_ptr<stream::server_exchange>&,
                      const std::string& id)>
       script;
+  std::function<std::string()> load;  // The load header; null: none is sent.
   bool sheds = false;
   std::string warmup_ms = "0";
   int probes = 0;
@@ -201,6 +203,8 @@
     settings.news = {Address(i), ports[kNews]};
     settings.upstream = {Address(i), ports[kUpstream]};
     settings.retries = {0.2, 100, std::chrono::seconds(10)};
+    settings.overload_control = overload_control;
+    settings.cost_routing = cost_routing;
     return settings;
   }
 
@@ -299,6 +303,9 @@
   // `store`.
   std::vector<std::unique_ptr<testing::store_standin>> stores;
   nlohmann::json config;
+  // Of daemons that start later.
+  sched::feature_mode overload_control = sched::feature_mode::kAuto;
+  sched::feature_mode cost_routing = sched::feature_mode::kAuto;
   std::vector<std::unique_ptr<upstream_standin>> upstreams;
   std::map<int, std::unique_ptr<node>> nodes;
   stream::client_pool callers{net.loop,
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <deque>
 #include <fstream>
 
 #include "node/call_header.h"
@@ -522,6 +523,7 @@
 
 TEST_CASE("the readiness, metrics and state pages are served without keys") {
   node_fleet fleet(1);
+  fleet.upstreams[0]->load = [] { return "1,0,4,2000"; };
   fleet.Start();
   net::http_client client(fleet.net.loop, fleet.net.timers);
   const auto get = [&](int port, const std::string& path) {
@@ -542,7 +544,15 @@
   const std::string metrics = get(node_fleet::kAdmin, "/metrics");
   CHECK(metrics.find("pimentohall_config_version 1") != std::string::npos);
   CHECK(metrics.find("pimentohall_call_seconds_bucket") != std::string::npos);
+  for (const char* name :
+       {"pimentohall_upstream_speed", "pimentohall_usable_slots 4",
+        "pimentohall_hidden_calls"}) {
+    CAPTURE(name);
+    CHECK(metrics.find(name) != std::string::npos);
+  }
+  CHECK(metrics.find("pimentohall_upstream_pace 1\n") == std::string::npos);
   const std::string state = get(node_fleet::kAdmin, "/state");
+  CHECK(state.find("\"usable_slots\": 4") != std::string::npos);
   CHECK(state.find("\"config_version\": 1") != std::string::npos);
   CHECK(state.find("key-1") == std::string::npos);
 }
@@ -654,5 +664,84 @@
   CHECK(fleet.upstreams[0]->closed > before);
 }
 
+// An upstream with 4 slots that queues up to 6 calls itself, sheds more, and
+// runs every accepted call to its end, also if it was cancelled.
+struct stubborn_upstream {
+  static constexpr int kSlots = 4;
+  static constexpr int kRoom = 6;
+
+  explicit stubborn_upstream(node_fleet* used) : fleet(used) {
+    upstream_standin* const at = fleet->upstreams[0].get();
+    at->load = [this] {
+      return std::to_string(running) + "," + std::to_string(waiting.size()) +
+             "," + std::to_string(kSlots) + "," + std::to_string(pace);
+    };
+    at->script = [this, at](
+                     const std::shared_ptr<stream::server_exchange>& conn,
+                     const std::string& id) {
+      if (running >= kSlots && waiting.size() >= kRoom) {
+        ++shed;
+        at->Answer(conn, id, 503, "", {{"X-Not-Executed", "1"}});
+        return;
+      }
+      auto is_open = std::make_shared<bool>(true);
+      conn->on_closed = [is_open](stream::end_reason) { *is_open = false; };
+      waiting.push_back([this, at, conn, id, is_open] {
+        --running;
+        if (*is_open) at->Answer(conn, id, 200, "done");
+        StartNext();
+      });
+      StartNext();
+    };
+  }
+  void StartNext() {
+    while (running < kSlots && !waiting.empty()) {
+      ++running;
+      fleet->net.timers.After(work, sigc::slot<void()>(waiting.front()));
+      waiting.pop_front();
+    }
+    most_waiting = std::max(most_waiting, waiting.size());
+  }
+
+  node_fleet* fleet;
+  core::duration work = milliseconds(300);
+  int pace = 100;
+  int running = 0;
+  int shed = 0;
+  std::size_t most_waiting = 0;
+  std::deque<std::function<void()>> waiting;
+};
+
+// A service shed 8,387 of 38,883 calls although its egress believed that a slot
+// was free: the egress freed the slot of a cancelled run, which the upstream
+// went on with, and started another call.
+TEST_CASE("an upstream that runs cancelled calls to their end isn't overrun") {
+  for (const auto mode :
+       {sched::feature_mode::kOff, sched::feature_mode::kOn}) {
+    const bool on = mode == sched::feature_mode::kOn;
+    CAPTURE(on);
+    node_fleet fleet(1);
+    fleet.overload_control = mode;
+    fleet.cost_routing = mode;
+    stubborn_upstream upstream(&fleet);
+    upstream.work = milliseconds(1);
+    fleet.Start();
+    for (int i = 0; i < 4; ++i) fleet.Call(0, "GET", "/read/usual");
+    upstream.work = milliseconds(300);
+    std::vector<std::shared_ptr<caller_exchange>> calls;
+    for (int i = 0; i < 60; ++i) {
+      // Callers that wait for less time than a run takes.
+      calls.push_back(fleet.StartCall(0, "GET", "/read/1", "", {}, "120"));
+      fleet.RunFor(milliseconds(20));
+    }
+    CHECK((upstream.shed == 0) == on);
+    CHECK((upstream.most_waiting <= 2) == on);
+    // The slots become usable again.
+    fleet.RunFor(milliseconds(1500));
+    upstream.work = milliseconds(1);
+    CHECK(fleet.Call(0, "GET", "/read/2")->status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace pimentohall::node
