Merge speed and pace of upstreams

Cause: cost prediction and upstream_monitor each learned the upstream's speed. Change: the egress corrects costs by the monitor's speed and pace; the picker weighs predicted costs by both.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -27,6 +27,8 @@
 // How often an upstream that isn't known to be up is probed.
 constexpr duration kDownProbePeriod = milliseconds(250);
 constexpr duration kTickPeriod = milliseconds(100);
+// Shortest time between two health checks for the upstream's load figures.
+constexpr duration kLoadProbePeriod = milliseconds(50);
 // A queued call expires this long before its deadline, so that the answer
 // arrives before its ingress gives up.
 constexpr duration kAnswerMargin = milliseconds(10);
@@ -226,13 +228,17 @@
   return core::reason::kNone;
 }
 
+double egress::TimeFactor(instant now) const {
+  return monitor_.Speed(now) * monitor_.Pace(now);
+}
+
 sched::cost_estimate egress::ExpectedTime(const call& call) const {
   const instant now = fleet_.loop.Now();
   const duration typical = milliseconds(call.info.typical_ms);
   if (fleet_.UsesCostRouting()) {
     const auto cost = fleet_.costs.Predict(call.cost, typical, now);
-    const double slowness = usual_slowness_.Value();
-    return {Scale(cost.mean, slowness), Scale(cost.high, slowness)};
+    const double factor = TimeFactor(now);
+    return {Scale(cost.mean, factor), Scale(cost.high, factor)};
   }
   const duration time =
       times_.Expect(call.info.route, Scale(typical, slowness_), now);
@@ -242,11 +248,11 @@
 duration egress::RemainingTime(const call& call, instant now) const {
   const duration age = now - call.started;
   if (fleet_.UsesCostRouting()) {
-    const double slowness = usual_slowness_.Value();
+    const double factor = TimeFactor(now);
     const duration left =
-        fleet_.costs.Remaining(call.cost, Scale(age, 1 / slowness),
+        fleet_.costs.Remaining(call.cost, Scale(age, 1 / factor),
                                milliseconds(call.info.typical_ms), now);
-    return Scale(left, slowness);
+    return Scale(left, factor);
   }
   // A call that exceeds its expected time is still assumed to have some left.
   const duration expected = ExpectedTime(call).mean;
@@ -275,10 +281,14 @@
   return item;
 }
 
-duration egress::WorkAhead(instant now) const {
+duration egress::WorkAhead(const call& call, instant now) const {
   const bool has_free_slot =
-      static_cast<int>(running_.size()) < upstream_->slots;
-  return has_free_slot ? duration{0} : RunningWork(now);
+      static_cast<int>(running_.size()) < UsableSlots(now);
+  if (has_free_slot) return duration{0};
+  if (!BoundsSlots()) return RunningWork(now);
+  // Hidden calls are assumed to be like this one, and half done.
+  return RunningWork(now) +
+         ExpectedTime(call).mean * monitor_.HiddenCalls(now) / 2;
 }
 
 // Refuses a call with a large body before the body is sent, if it can.
@@ -289,8 +299,8 @@
     Refuse(call, reason, kIngressRetryAfter);
     return;
   }
-  const auto checked =
-      queue_.Check(WorkItem(*call), upstream_->slots, WorkAhead(now), now);
+  const auto checked = queue_.Check(WorkItem(*call), upstream_->slots,
+                                    WorkAhead(*call, now), now);
   if (!checked) {
     Refuse(call, checked.error().why, checked.error().retry_after);
     return;
@@ -311,8 +321,8 @@
     Refuse(call, reason, kIngressRetryAfter);
     return;
   }
-  const auto pushed =
-      queue_.Push(WorkItem(*call), upstream_->slots, WorkAhead(now), now);
+  const auto pushed = queue_.Push(WorkItem(*call), upstream_->slots,
+                                  WorkAhead(*call, now), now);
   if (!pushed) {
     Refuse(call, pushed.error().why, pushed.error().retry_after);
     return;
@@ -336,7 +346,7 @@
   // Until the upstream has answered once, it isn't known whether it is cold.
   if (state_ == upstream_state::kUnknown) return;
   while (queue_.Size() > 0 &&
-         static_cast<int>(running_.size()) < upstream_->slots) {
+         static_cast<int>(running_.size()) < UsableSlots(now)) {
     if (!gate_.Take(now)) break;
     const auto next =
         queue_.Pop(now, controls_overload_ ? RunningWork(now) : duration{0});
@@ -382,7 +392,7 @@
   instant wake = instant::max();
   if (const auto expiry = queue_.NextExpiry()) wake = *expiry;
   const bool has_slot =
-      upstream_ && static_cast<int>(running_.size()) < upstream_->slots;
+      upstream_ && static_cast<int>(running_.size()) < UsableSlots(now);
   if (queue_.Size() > 0 && has_slot) wake = std::min(wake, gate_.NextAt(now));
   if (wake == wake_at_) return;
   wake_at_ = wake;
@@ -446,6 +456,7 @@
     Refuse(call, core::reason::kOverloaded, kIngressRetryAfter);
     return;
   }
+  monitor_.OnStarted(upstream_->slots, now);
   running_[call->id] = call;
   fleet_.repeats.OnRunStarted(call->id, call->info.repeat);
   fleet_.metrics.ObserveQueueWait(now - call->received);
@@ -463,6 +474,28 @@
   fleet_.repeats.OnRunEnded(call.id);
 }
 
+bool egress::BoundsSlots() const {
+  return fleet_.UsesOverloadControl() || fleet_.UsesCostRouting();
+}
+
+int egress::UsableSlots(instant now) const {
+  if (!upstream_) return 0;
+  return BoundsSlots() ? monitor_.UsableSlots(upstream_->slots, now)
+                       : upstream_->slots;
+}
+
+void egress::OnAbandoned(instant now) {
+  if (!BoundsSlots()) return;
+  monitor_.OnAbandoned(now);
+  if (now - probed_at_ >= kLoadProbePeriod) Probe();
+}
+
+void egress::RecheckSlots(instant now) {
+  if (!upstream_ || queue_.Size() == 0 || !BoundsSlots()) return;
+  if (UsableSlots(now) < upstream_->slots) Probe();
+  StartQueuedCalls();
+}
+
 void egress::RefuseOvertaken() {
   if (!upstream_ || queue_.Size() == 0) return;
   const instant now = fleet_.loop.Now();
@@ -488,6 +521,7 @@
     if (call->exchange) call->exchange->Cancel();
     call->exchange = nullptr;
     RemoveRunning(*call);
+    OnAbandoned(now);
     LogEnd(*call, outcome::kMayHaveRun, core::reason::kDeadline);
     RemoveCall(call);
     server_.Abort(call->inbound);
@@ -502,6 +536,7 @@
   attempts_.Expire(now);
   ExpireCrashNews(now);
   EndOverdueCalls(now);
+  RecheckSlots(now);
   RefuseOvertaken();
   if (controls_overload_ && upstream_) {
     queue_.UpdateRankLimit(upstream_->slots, RunningWork(now), now);
