Send news to other zones half as often without rate limits

Change: daemons without tenants' rate limits exchange no counts, so their far news are sent every fourth near period instead of every second.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -24,6 +24,7 @@
 constexpr duration kNearNewsPeriod = milliseconds(300);
 constexpr std::size_t kNearNewsBaseFleetSize = 50;
 constexpr int kFarNewsPeriodFactor = 2;  // Far period in near periods.
+constexpr int kFarNewsPeriodFactorWithoutCounts = 4;
 constexpr std::size_t kFarNewsBaseFleetSize = 50;
 constexpr duration kMaintenancePeriod = milliseconds(100);
 constexpr duration kClientLimitsLogPeriod = std::chrono::seconds(1);
@@ -305,6 +306,14 @@
                                       }));
   }
 
+  // Without rate limits of tenants, far peers need no counts of calls, so their
+  // news are sent less often.
+  int FarPeriodFactor() const {
+    return fleet_.config && !fleet_.config->LimitsDemand()
+               ? kFarNewsPeriodFactorWithoutCounts
+               : kFarNewsPeriodFactor;
+  }
+
   // Sends news to the near peers, and to the far ones if their news are due or
   // `to_all` is set.
   void SendNews(bool to_all) {
@@ -315,7 +324,7 @@
     // reports. There are few readers.
     const duration far_period =
         mirror_.IsReading() ? near_period
-                            : PeriodFor(kNearNewsPeriod * kFarNewsPeriodFactor,
+                            : PeriodFor(kNearNewsPeriod * FarPeriodFactor(),
                                         kFarNewsBaseFleetSize);
     // Far news that are nearly due are sent together with the near ones.
     const bool far_news_due =
@@ -342,7 +351,7 @@
     const duration near_period =
         PeriodFor(kNearNewsPeriod, kNearNewsBaseFleetSize);
     const duration far_period = PeriodFor(
-        kNearNewsPeriod * kFarNewsPeriodFactor, kFarNewsBaseFleetSize);
+        kNearNewsPeriod * FarPeriodFactor(), kFarNewsBaseFleetSize);
     news_.Send(address, NewsFor(fleet_.peers.Find(address),
                                 is_near ? near_period : far_period, instant{}));
   }
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -679,7 +679,7 @@
     for (int i = 0; i < 8; ++i) {
       const auto picked = picker.Pick(targets, {}, call, kStart);
       REQUIRE(picked);
-      picker.OnSent(targets[*picked].id);
+      picker.OnSent(targets[*picked].id, milliseconds(100));
       if (*picked == 1) ++far;
     }
     return far;
