Hold calls back from an upstream that sheds them

Change: a circuit breaker at the egress (sched::shed_breaker): after three sheds in a row the queue goes back to the ingresses, the upstream reports to take no calls, and one trial call is tried after 0.3 s, then in doubling steps to 2.4 s. With overload control, the picker uses upstreams that take no calls last.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -539,6 +539,9 @@
   explicit target_picker(std::uint64_t seed) : random_(seed | 1) {}
 
   void SetCostRouting(bool on) { cost_routing_ = on; }
+  // Upstreams whose last report says that they take no calls are used only if
+  // no other candidate is left.
+  void SetAvoidsClosed(bool on) { avoids_closed_ = on; }
 
   struct candidate {
     std::string id;
@@ -597,6 +600,7 @@
 
   std::uint64_t random_;
   bool cost_routing_ = false;
+  bool avoids_closed_ = false;
   std::unordered_map<std::string, state> states_;
 };
 
--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -448,6 +448,43 @@
   std::unordered_map<std::string, largest> routes_;
 };
 
+// ---------------------------------------------------------------------------
+// Upstreams that refuse calls.
+
+// A circuit breaker for an upstream that sheds calls although it has free
+// slots. Such an upstream answers at once, so it looks idle and attracts calls;
+// each of them costs a retry elsewhere.
+class shed_breaker {
+ public:
+  // Sheds in a row that open the breaker. A single one may come from a queue
+  // that was full for a moment.
+  static constexpr int kOpenAfter = 3;
+  // The breaker stays open for this long at first. After that, one call at a
+  // time is a trial: if it is shed, the time doubles up to the maximum.
+  static constexpr duration kMinHold = std::chrono::milliseconds(300);
+  static constexpr duration kMaxHold = std::chrono::milliseconds(2400);
+
+  enum class state {
+    kClosed,    // Calls may start.
+    kOpen,      // No call may start.
+    kHalfOpen,  // A trial call may start.
+    kTrial,     // The trial call runs; no other may start.
+  };
+
+  state State(instant now) const;
+  bool MayStart(instant now) const;
+  void OnStarted(instant now);
+  void OnShed(instant now);
+  // The upstream ran a call, or its call ended otherwise.
+  void OnNotShed();
+
+ private:
+  int sheds_ = 0;  // In a row.
+  duration hold_{0};
+  instant open_until_{};
+  std::optional<instant> trial_at_;
+};
+
 // ---------------------------------------------------------------------------
 // Nested calls.
 
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -53,6 +53,11 @@
 // to a full upstream costs this share of its duration more.
 constexpr double kUtilisationCost = 0.35;
 
+// An upstream that reported to take no calls. An older report doesn't count, so
+// that it is tried again when reports stop.
+constexpr double kClosedMs = 60'000;
+constexpr duration kClosedReportAge = std::chrono::seconds(1);
+
 }  // namespace
 
 std::uint64_t target_picker::Random() {
@@ -180,8 +185,12 @@
   double call_ms = usual_ms * std::max(0.1, news.slowness) * news.pace;
   if (target.is_cold) call_ms *= kColdFactor;
   const double load = news.running + news.queued + known.sent_since;
+  const bool is_closed = avoids_closed_ && known.last.slots == 0 &&
+                         known.reported_at != instant{} &&
+                         now - known.reported_at <= kClosedReportAge;
   const double utilisation = std::min(1.0, load / slots);
-  return WaitMs(news, known, call, slots, call_ms) +
+  return (is_closed ? kClosedMs : 0) +
+         WaitMs(news, known, call, slots, call_ms) +
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
          kFailureCost * typical_ms * FailureShare(known, now) +
          TransitMs(known, now) * (1 + call.bytes / (kTransitKb * kBytesPerKb)) +
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -221,6 +221,7 @@
   }
   if (attempts_.IsBarred(call.info.attempt)) return core::reason::kCancelled;
   if (state_ == upstream_state::kDown) return core::reason::kConnectFailed;
+  if (!MayStart(now)) return core::reason::kOverloaded;
   if (calls_.size() > kMaxCalls) return core::reason::kOverloaded;
   if (guard_.IsQuarantined(call.fingerprint, now)) {
     return core::reason::kQuarantined;
@@ -345,7 +346,7 @@
   }
   // Until the upstream has answered once, it isn't known whether it is cold.
   if (state_ == upstream_state::kUnknown) return;
-  while (queue_.Size() > 0 &&
+  while (queue_.Size() > 0 && MayStart(now) &&
          static_cast<int>(running_.size()) < UsableSlots(now)) {
     if (!gate_.Take(now)) break;
     const auto next =
@@ -374,6 +375,27 @@
                                      : mesh::queue_order::kEarliestAim);
 }
 
+bool egress::MayStart(instant now) const {
+  return !controls_overload_ || breaker_.MayStart(now);
+}
+
+// Queued calls may be served elsewhere while this upstream sheds.
+void egress::OnShed(const call& call, instant now) {
+  if (!controls_overload_) return;
+  const bool may_start = breaker_.MayStart(now);
+  breaker_.OnShed(now);
+  if (!may_start || breaker_.MayStart(now)) return;
+  net::Log(core::log_level::kWarning, "upstream sheds calls",
+           {{"upstream", call.upstream},
+            {"running", std::to_string(running_.size())},
+            {"queued", std::to_string(queue_.Size())}});
+  for (const mesh::work_item& item : queue_.Clear()) {
+    // A copy of the pointer: ending the call removes the one in the table.
+    const call_ptr queued = calls_.at(item.id);
+    Refuse(queued, core::reason::kOverloaded, kIngressRetryAfter);
+  }
+}
+
 void egress::RefuseQueued() {
   for (const mesh::work_item& item : queue_.Clear()) {
     // A copy of the pointer: ending the call removes the one in the table.
@@ -458,6 +480,7 @@
   }
   monitor_.OnStarted(upstream_->slots, now);
   running_[call->id] = call;
+  breaker_.OnStarted(now);
   fleet_.repeats.OnRunStarted(call->id, call->info.repeat);
   fleet_.metrics.ObserveQueueWait(now - call->received);
   call->exchange->SendData(call->body.Bytes());
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -93,6 +93,9 @@
   duration RemainingTime(const call& call, instant now) const;
   void ObserveCost(const call& call, duration took, instant now);
   bool BoundsSlots() const;
+  // False while the upstream sheds calls.
+  bool MayStart(instant now) const;
+  void OnShed(const call& call, instant now);
   // The upstream may go on with a call that was cancelled or failed.
   void OnAbandoned(instant now);
   // Starts queued calls when slots become usable without an answer.
@@ -152,6 +155,7 @@
   mesh::time_estimator times_;
   double slowness_ = 1;
   sched::upstream_monitor monitor_;
+  sched::shed_breaker breaker_;
   instant wake_at_ = instant::max();
   sigc::connection wake_timer_;
   sigc::connection tick_timer_;
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -65,6 +65,7 @@
   } else if (call->answer_info.not_run) {
     result = outcome::kShed;
     reason = core::reason::kShed;
+    OnShed(*call, now);
   } else if (call->answer.status < 300) {
     ObserveCost(*call, took, now);
     times_.Observe(call->info.route, took, now);
@@ -76,6 +77,7 @@
     slowness_ += kNewestCallWeight * (ratio - slowness_);
     if (!gate_.IsCold(now)) monitor_.OnRun(took, typical, now);
   }
+  if (result == outcome::kAnswered) breaker_.OnNotShed();
   fleet_.metrics.ObserveUpstream(OutcomeName(result), took);
   if (call->streams_answer) {
     call->inbound->SendEnd();
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -50,6 +50,7 @@
               {"revision", std::to_string(upstream_->revision)}});
     slowness_ = 1;
     monitor_ = {};
+    breaker_ = {};
     pool_.CloseIdle(endpoint);
     state_ = upstream_state::kUnknown;
     Probe();
@@ -195,8 +196,9 @@
   load.running = static_cast<int>(running_.size());
   if (BoundsSlots()) load.running += monitor_.HiddenCalls(now);
   load.queued = static_cast<int>(queue_.Size());
-  const bool accepts_calls =
-      state_ != upstream_state::kDown && !upstream_->draining && !stopping_;
+  const bool accepts_calls = state_ != upstream_state::kDown &&
+                             !upstream_->draining && !stopping_ &&
+                             MayStart(now);
   load.slots = accepts_calls ? upstream_->slots : 0;
   load.backlog_ms = static_cast<double>(ToWholeMs(
       (queue_.Work() + RunningWork(now)) / std::max(1, upstream_->slots)));
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -279,6 +279,7 @@
   }
   const auto candidates = Candidates(*call, now);
   fleet_.picker.SetCostRouting(fleet_.UsesCostRouting());
+  fleet_.picker.SetAvoidsClosed(fleet_.UsesOverloadControl());
   mesh::call_profile profile;
   profile.typical = fleet_.TypicalTime(*call->route);
   profile.bytes = std::max(fleet_.carried.Expect(call->route->name),
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -350,8 +350,8 @@
     const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
     const duration near_period =
         PeriodFor(kNearNewsPeriod, kNearNewsBaseFleetSize);
-    const duration far_period = PeriodFor(
-        kNearNewsPeriod * FarPeriodFactor(), kFarNewsBaseFleetSize);
+    const duration far_period =
+        PeriodFor(kNearNewsPeriod * FarPeriodFactor(), kFarNewsBaseFleetSize);
     news_.Send(address, NewsFor(fleet_.peers.Find(address),
                                 is_near ? near_period : far_period, instant{}));
   }
