--- a/src/sched/cost_predictor.cc
+++ b/src/sched/cost_predictor.cc
@@ -23,10 +23,10 @@
 const double kTrustedPerRun = std::log(4.0);
 // Weight of the parent's value against the runs of an effect, and of the
 // fallback against the runs of a route.
-constexpr double kEffectPriors[] = {2, 10, 10, 10};
+constexpr double kEffectPriors[] = {2, 8, 8, 8};
 // Number of runs that an effect is a mean over, at most. Effects that learned
 // from the errors of others early must forget that soon.
-constexpr double kMaxEffectWeight = 48;
+constexpr double kMaxEffectWeight = 96;
 constexpr double kRoutePrior = 2;
 constexpr double kSpreadPrior = 16;
 // Runs of a path shape after which errors count to a quarter.
