--- a/measure/cost_predictors/main.cc
+++ b/measure/cost_predictors/main.cc
@@ -1,6 +1,7 @@
-// cost_predictors [SEEDS]: compares predictors of the cost of a call on the
-// same generated loads, mean over the seeds 1 to SEEDS (default 8). Each call
-// is predicted before it is learned from; the first 2 s aren't counted.
+// cost_predictors [SEEDS [FIRST]]: compares predictors of the cost of a call on
+// the same generated loads, mean over SEEDS seeds (default 8) from FIRST (1)
+// on. Each call is predicted before it is learned from; the first 2 s aren't
+// counted. The last line is the time of cost_predictor::Remaining.
 //
 //   error    mean absolute error of the mean, as a share of the mean cost
 //   rms      root of the mean squared error, likewise
@@ -79,7 +80,7 @@
   call->kind_ms = 40 + call->features.body_bytes / 200;
 }
 
-// Two kinds that nothing tells apart.
+// No feature tells.
 void DrawHidden(std::mt19937_64* random, drawn_call* call) {
   DrawAny(random, call);
   call->kind_ms = 130;
@@ -154,23 +155,42 @@
               static_cast<double>(sum.bytes) / 1024, sum.ns / sum.calls);
 }
 
+void PrintRemaining() {
+  constexpr int kCalls = 1'000'000;
+  sched::cost_predictor costs;
+  const sched::cost_key key = sched::KeyOf({"read", "GET", "/a", "b", "c", 0});
+  for (int i = 0; i < 100; ++i) costs.Observe(key, milliseconds(100), kStart);
+  core::duration sum{0};
+  const auto before = std::chrono::steady_clock::now();
+  for (int i = 0; i < kCalls; ++i) {
+    sum +=
+        costs.Remaining(key, milliseconds(i % 300), milliseconds(100), kStart);
+  }
+  const std::chrono::duration<double, std::nano> took =
+      std::chrono::steady_clock::now() - before;
+  std::printf("remaining time: %.0f ns, mean %.0f ms\n", took.count() / kCalls,
+              static_cast<double>(sum.count()) / kCalls / 1000);
+}
+
 }  // namespace
 }  // namespace pimentohall::measure
 
 int main(int argc, char** argv) {
   using namespace pimentohall::measure;  // NOLINT
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 8;
+  const int first = argc > 2 ? std::atoi(argv[2]) : 1;
   std::printf(
       "| load | predictor | error | rms | explains | below | KB | ns |\n"
       "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
   for (const load& from : kLoads) {
     for (const named_candidate& which : Candidates()) {
       score sum;
-      for (int seed = 1; seed <= seeds; ++seed) {
+      for (int seed = first; seed < first + seeds; ++seed) {
         Play(from, which, static_cast<std::uint64_t>(seed), &sum);
       }
       PrintScore(from, which, sum);
     }
   }
+  PrintRemaining();
   return 0;
 }
--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,5 +1,6 @@
-// load_patterns [SEEDS [cost]]: prints a table of every load pattern, the mean
-// over the seeds 1 to SEEDS (default 5). `cost`: with cost routing.
+// load_patterns [SEEDS [cost|plain [FIRST]]]: prints a table of every load
+// pattern, the mean over SEEDS seeds (default 5) from FIRST (1) on. `cost`:
+// with cost routing.
 
 #include <cstdio>
 #include <cstdlib>
@@ -9,14 +10,14 @@
 namespace pimentohall::testing {
 namespace {
 
-void PrintPattern(const load_pattern& pattern, int seeds) {
+void PrintPattern(const load_pattern& pattern, int seeds, int first) {
   double worth = 0;
   double served = 0;
   double worst = 0;
   double wait = 0;
   double in_vain = 0;
   std::map<std::string, class_result> sums;
-  for (int seed = 1; seed <= seeds; ++seed) {
+  for (int seed = first; seed < first + seeds; ++seed) {
     const load_result result =
         RunLoad(pattern, static_cast<std::uint64_t>(seed));
     worth += result.worth / seeds;
@@ -53,10 +54,11 @@
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
   std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
               "worst", "wait ms", "in vain", "in aim + late, by kind");
+  const int first = argc > 3 ? std::atoi(argv[3]) : 1;
   const bool uses_cost = argc > 2 && std::string(argv[2]) == "cost";
   for (auto pattern : pimentohall::testing::AllPatterns()) {
     pattern.uses_cost_routing = uses_cost;
-    pimentohall::testing::PrintPattern(pattern, seeds);
+    pimentohall::testing::PrintPattern(pattern, seeds, first);
   }
   return 0;
 }
