--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,5 +1,5 @@
-// load_patterns [SEEDS [OPTIONS]]: prints a table of every load pattern, the
-// mean over the seeds 1 to SEEDS (default 5).
+// load_patterns [SEEDS [OPTIONS [FIRST]]]: prints a table of every load pattern,
+// the mean over SEEDS seeds (default 5) from FIRST (1) on.
 //
 // OPTIONS is a comma-separated list: a queue order (aim, newest, set, classes),
 // the parts of overload control that are used (retries, gate, pacer), and
@@ -45,7 +45,7 @@
   return options;
 }
 
-void PrintPattern(const load_pattern& pattern, int seeds,
+void PrintPattern(const load_pattern& pattern, int seeds, int first,
                   const load_options& options) {
   double worth = 0;
   double served = 0;
@@ -53,7 +53,7 @@
   double wait = 0;
   double in_vain = 0;
   std::map<std::string, class_result> sums;
-  for (int seed = 1; seed <= seeds; ++seed) {
+  for (int seed = first; seed < first + seeds; ++seed) {
     const load_result result =
         RunLoad(pattern, static_cast<std::uint64_t>(seed), options);
     worth += result.worth / seeds;
@@ -88,6 +88,7 @@
 
 int main(int argc, char** argv) {
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
+  const int first = argc > 3 ? std::atoi(argv[3]) : 1;
   const auto options =
       pimentohall::testing::ParseOptions(argc > 2 ? argv[2] : "");
   if (!options) {
@@ -98,7 +99,7 @@
               "worst", "wait ms", "in vain", "in aim + late, by kind");
   for (auto pattern : pimentohall::testing::AllPatterns()) {
     pattern.uses_cost_routing = options->cost;
-    pimentohall::testing::PrintPattern(pattern, seeds, *options);
+    pimentohall::testing::PrintPattern(pattern, seeds, first, *options);
   }
   return 0;
 }
