Use the aim of a caller's first attempt, rank limits and paced returns

Cause: each attempt of a retrying caller got a new aim, refused callers got one Retry-After and came back together, and calls that every upstream refuses by rank were still sent.

Change: where overload control is on, the ingress moves the aim of a later attempt back by the time spent (sched::budget_history), refuses a call whose rank no upstream in reach takes (sched::admission_gate, fed by load reports) and paces Retry-After (sched::return_pacer), which is at most a third of the caller's remaining budget. Metrics: pimentohall_rank_refusals_total, pimentohall_retry_after_seconds, pimentohall_rank_limit, pimentohall_limited_upstreams. Log fields spent_ms and "rank limit changed"; the state dump has "overload".

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -55,7 +55,7 @@
  public:
   // Of the mean served share. The floor that is promised is a quarter; the
   // counts react with a delay, so groups are helped before that.
-  static constexpr double kShare = 0.35;
+  static constexpr double kShare = 0.4;
   // Bounds the memory; calls of further groups are never owed.
   static constexpr std::size_t kMaxGroups = 256;
 
@@ -86,10 +86,11 @@
   // A daemon still sends one in this many of the calls that it may refuse
   // because of their rank, so that their demand stays known and their routes
   // keep their floor.
-  static constexpr int kPassInterval = 3;
+  static constexpr int kPassInterval = 2;
   static constexpr std::size_t kMaxRanks = 64;
 
-  // A call was offered; `work` is its expected time. A call above the limit
+  // A call was offered; `work` is its expected time. A negative rank is more
+  // urgent than all that can be limited. A call above the limit
   // counts for `kPassInterval` calls, which `WeightOf` returns.
   void OnOffered(int rank, duration work, instant now);
   double WeightOf(int rank) const { return rank > limit_ ? kPassInterval : 1; }
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -471,7 +471,16 @@
   EndOverdueCalls(now);
   RefuseOvertaken();
   if (controls_overload_ && upstream_) {
-    queue_.UpdateRankLimit(upstream_->slots, RunningWork(now), now);
+    const int before = queue_.RankLimit();
+    const int limit =
+        queue_.UpdateRankLimit(upstream_->slots, RunningWork(now), now);
+    if (limit != before) {
+      net::Log(core::log_level::kInfo, "rank limit changed",
+               {{"upstream", upstream_->id},
+                {"limit", std::to_string(limit)},
+                {"before", std::to_string(before)},
+                {"queued", std::to_string(queue_.Size())}});
+    }
   }
   const bool should_probe = state_ != upstream_state::kUp;
   if (should_probe && now - probed_at_ >= kDownProbePeriod) Probe();
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -47,6 +47,8 @@
   bool IsIdle() const { return calls_.empty(); }
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const { return queue_.Size(); }
+  // Higher ranks aren't taken at present.
+  int RankLimit() const { return queue_.RankLimit(); }
   const stream::server& Server() const { return server_; }
 
   std::optional<mesh::load_news> Load() const;
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -67,6 +67,10 @@
   bool stopping = false;
   // When a planned stop ends the process, whatever is still pending.
   instant stop_ends_at = instant::max();
+  // Of the callers' calls, for overload control.
+  sched::admission_gate gate;
+  sched::return_pacer pacer;
+  sched::budget_history budgets;
   // The repeats among the runs of this VM's upstream.
   mesh::repeat_ascriber repeats;
 
@@ -79,6 +83,14 @@
            sched::IsEnabled(settings.cost_routing, config->LimitsDemand());
   }
 
+  // Takes in what the daemon beside an upstream of `service` reports; empty:
+  // the service isn't known.
+  void OnLoad(const std::string& service, const mesh::load_news& load) {
+    picker.OnNews(load, loop.Now());
+    if (service.empty()) return;
+    gate.OnReport(service, load.upstream, load.rank_limit, loop.Now());
+  }
+
   // The availability zone of the VM with this address; empty: not known.
   std::string ZoneOf(const std::string& address) const {
     const auto found = zone_of_address.find(address);
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -62,6 +62,7 @@
   const mesh::caller_limits& limits = fleet_.config->Parts().limits;
   server_.SetTimeouts(limits.idle_timeout, limits.header_timeout);
   server_.SetMaxHeadBytes(limits.header_bytes);
+  controls_overload_ = fleet_.UsesOverloadControl();
 }
 
 // ---------------------------------------------------------------------------
@@ -74,6 +75,7 @@
   new_call->received = fleet_.loop.Now();
   caller_request request = fleet_.dialect.ReadRequest(head);
   new_call->caller_id = request.id;
+  new_call->budget = request.budget;
   new_call->deadline =
       new_call->received + request.budget.value_or(kDefaultBudget);
   new_call->head = std::move(head);
@@ -125,7 +127,11 @@
   }
   fleet_.dialect.StripRequest(&call->head.headers);
   DropFleetHeaders(&call->head.headers);
-  call->aim_at = call->received + call->route->aim;
+  if (controls_overload_ && !call->nested && call->budget) {
+    call->spent =
+        fleet_.budgets.Spent(call->route->name, *call->budget, call->received);
+  }
+  call->aim_at = call->received + call->route->aim - call->spent;
   if (call->route->timeout.count() > 0) {
     call->deadline =
         std::min(call->deadline, call->received + call->route->timeout);
@@ -267,6 +273,11 @@
     return;
   }
   const auto candidates = Candidates(*call, now);
+  if (!IsRankTaken(*call, candidates, now)) {
+    fleet_.metrics.CountRankRefusal(call->route->name);
+    RefuseUnavailable(call, core::reason::kQueueFull);
+    return;
+  }
   mesh::call_profile profile;
   profile.typical = fleet_.TypicalTime(*call->route);
   profile.bytes = std::max(fleet_.carried.Expect(call->route->name),
@@ -283,6 +294,31 @@
   Forward(call, id, fleet_.directory.Entries().at(id).what.address);
 }
 
+// The tenant's priority outranks the route's.
+int ingress::RankOf(const call& call) const {
+  constexpr int kRoutePriorities = 100;
+  const int route_rank = std::clamp(call.route->priority, 0, 99);
+  const int tenant_rank =
+      call.tenant ? std::clamp(call.tenant->priority.value_or(0), 0, 99) : 0;
+  return tenant_rank * kRoutePriorities + route_rank;
+}
+
+// Only a first attempt may be among the calls that pass in spite of their rank:
+// callers gain nothing by coming back often.
+bool ingress::IsRankTaken(
+    const call& call,
+    const std::vector<mesh::target_picker::candidate>& candidates,
+    instant now) {
+  const bool is_sent = !call.tried_upstreams.empty();
+  if (!controls_overload_ || call.nested || is_sent) return true;
+  if (fleet_.gate.Size() == 0) return true;
+  fleet_.gate.Expire(now);
+  std::vector<std::string> ids;
+  for (const auto& each : candidates) ids.push_back(each.id);
+  const std::uint64_t key = call.spent.count() > 0 ? 1 : ++gate_key_;
+  return fleet_.gate.Admits(call.service, ids, RankOf(call), key, now);
+}
+
 call_header ingress::BuildCallHeader(const call& call,
                                      const std::string& upstream,
                                      instant now) const {
@@ -292,12 +328,7 @@
   header.route = call.route->name;
   header.tenant = call.tenant ? call.tenant->name : "";
   header.caller_service = fleet_.settings.caller_service;
-  // The tenant's priority outranks the route's.
-  constexpr int kRoutePriorities = 100;
-  const int route_rank = std::clamp(call.route->priority, 0, 99);
-  const int tenant_rank =
-      call.tenant ? std::clamp(call.tenant->priority.value_or(0), 0, 99) : 0;
-  header.rank = tenant_rank * kRoutePriorities + route_rank;
+  header.rank = RankOf(call);
   header.nested = call.nested;
   header.idempotent = call.route->idempotent;
   header.repeat = call.sent > 0;
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -57,6 +57,14 @@
   std::vector<mesh::target_picker::candidate> Candidates(const call& call,
                                                          instant now) const;
   bool IsAllowedRegion(const call& call, const std::string& zone) const;
+  int RankOf(const call& call) const;
+  // Whether an upstream may take a call of this rank at present.
+  bool IsRankTaken(
+      const call& call,
+      const std::vector<mesh::target_picker::candidate>& candidates,
+      instant now);
+  // The Retry-After of a call that wasn't run.
+  duration RetryAfter(const call& call, instant now);
   bool CantEndBeforeStop(const call& call, instant now) const;
   void Forward(const call_ptr& call, const std::string& upstream,
                const std::string& address);
@@ -104,6 +112,8 @@
   net::http_client attempt_queries_;
   std::unordered_map<stream::server_exchange*, call_ptr> calls_;
   std::uint64_t last_attempt_ = 0;
+  bool controls_overload_ = false;  // As of the configuration in force.
+  std::uint64_t gate_key_ = 0;
   bool stopping_ = false;
 };
 
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -47,7 +47,6 @@
 // Answers of the egress.
 
 void ingress::OnAnswerHead(const call_ptr& call, stream::message_head head) {
-  const instant now = fleet_.loop.Now();
   const auto outcome_info =
       DecodeOutcome(net::FindHeader(head.headers, kOutcomeHeader));
   if (!outcome_info) {
@@ -58,7 +57,7 @@
     call->outcome_info = outcome_header{};
   } else {
     call->outcome_info = *outcome_info;
-    fleet_.picker.OnNews(outcome_info->load, now);
+    fleet_.OnLoad(call->service, outcome_info->load);
   }
   call->has_answer_head = true;
   call->answer = std::move(head);
@@ -96,6 +95,9 @@
   if (call->body_withheld) call->attempt->Cancel();
   call->attempt = nullptr;
   ObserveTransit(*call);
+  if (controls_overload_ && call->outcome_info.result == outcome::kAnswered) {
+    fleet_.pacer.OnAnswered(call->service, fleet_.loop.Now());
+  }
   if (call->streams_answer) {
     call->inbound->SendEnd();
     Finish(call, call->answer.status, "upstream", core::reason::kNone);
@@ -361,9 +363,23 @@
   if (call->holds_token && call->sent == 0) {
     fleet_.allotments.ReturnToken(*call->tenant, fleet_.loop.Now());
   }
-  const duration wait =
-      call->retry_after.count() > 0 ? call->retry_after : kCallerRetryAfter;
-  Refuse(call, 503, reason, std::min(wait, kMaxRetryAfter));
+  const duration wait = RetryAfter(*call, fleet_.loop.Now());
+  if (controls_overload_) call->retry_after = wait;
+  Refuse(call, 503, reason, wait);
+}
+
+duration ingress::RetryAfter(const call& call, instant now) {
+  const duration wait = std::min(
+      call.retry_after.count() > 0 ? call.retry_after : kCallerRetryAfter,
+      kMaxRetryAfter);
+  if (!controls_overload_) return wait;
+  const duration budget = call.budget.value_or(call.deadline - call.received);
+  const duration paced = fleet_.pacer.RetryAfter(
+      call.service, wait, call.received + budget - now, now);
+  fleet_.metrics.ObserveRetryAfter(paced);
+  // The header has milliseconds, rounded; a third of the time left is a bound.
+  return std::min(kMaxRetryAfter,
+                  duration(std::chrono::floor<milliseconds>(paced)));
 }
 
 void ingress::Refuse(const call_ptr& call, int status, core::reason reason,
@@ -417,6 +433,7 @@
        {"queue_ms", std::to_string(call->outcome_info.waited_ms)},
        {"upstream_ms", std::to_string(call->outcome_info.took_ms)},
        {"budget_ms", MsText(call->deadline - call->received)},
+       {"spent_ms", MsText(call->spent)},
        {"config", call->config ? std::to_string(call->config->Version()) : "0"},
        {"config_age_ms", MsText(now - fleet_.config_at)}});
   calls_.erase(call->inbound.get());
--- a/src/node/ingress_call.h
+++ b/src/node/ingress_call.h
@@ -4,6 +4,7 @@
 // A call at the ingress, and constants that the ingress's source files share.
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   instant received{};
   instant deadline{};
   instant aim_at{};
+  std::optional<duration> budget;  // As the caller stated it.
+  duration spent{0};               // On the caller's earlier attempts.
   std::shared_ptr<const mesh::configuration> config;
   const mesh::route* route = nullptr;    // Lives in `config`.
   const mesh::tenant* tenant = nullptr;  // Lives in `config`.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -347,6 +347,14 @@
                                 is_near ? near_period : far_period, instant{}));
   }
 
+  // Empty: not listed.
+  std::string ServiceOf(const std::string& upstream) const {
+    const auto found = fleet_.directory.Entries().find(upstream);
+    return found == fleet_.directory.Entries().end()
+               ? ""
+               : found->second.what.service;
+  }
+
   // Reports a change to all peers at once.
   void SendNewsToAll() { SendNews(true); }
 
@@ -370,7 +378,7 @@
       ReplyToFirstNews(news.address);
     }
     fleet_.allotments.OnNews(news, is_first, now);
-    if (news.load) fleet_.picker.OnNews(*news.load, now);
+    if (news.load) fleet_.OnLoad(ServiceOf(news.load->upstream), *news.load);
     for (const core::crash_report& report : news.crashes) {
       egress_.OnCrashNews(report);
     }
@@ -494,6 +502,8 @@
     gauges.peers = fleet_.peers.CountHeard(now);
     gauges.running = egress_.Running();
     gauges.queued = egress_.Queued();
+    gauges.rank_limit = egress_.RankLimit();
+    gauges.limited_upstreams = fleet_.gate.Size();
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     for (const auto& [name, server] : Listeners()) {
       fleet_.metrics.SetListener({name, server->Connections(),
@@ -535,6 +545,9 @@
     }
     state["running"] = egress_.Running();
     state["queued"] = egress_.Queued();
+    state["overload"] = {{"on", fleet_.UsesOverloadControl()},
+                         {"rank_limit", egress_.RankLimit()},
+                         {"limited_upstreams", fleet_.gate.Size()}};
     return state.dump(1);
   }
 
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -51,6 +51,9 @@
                          "Attempts forwarded to a daemon.")),
       source_(Counters("pimentohall_source_answers_total",
                        "Answers of the configuration source, by result.")),
+      rank_refusals_(
+          Counters("pimentohall_rank_refusals_total",
+                   "Calls not sent because no upstream takes their rank.")),
       news_(Counters("pimentohall_news_total", "News datagrams.")),
       news_bytes_(
           Counters("pimentohall_news_bytes_total", "Bytes of news datagrams.")),
@@ -66,6 +69,9 @@
                             "Time from a call's head to its answer.")),
       queue_wait_(Histograms("pimentohall_queue_wait_seconds",
                              "Time that started calls waited here.")),
+      retry_after_(Histograms("pimentohall_retry_after_seconds",
+                              "Retry-After of calls that were not run, as "
+                              "overload control paces it.")),
       upstream_time_(Histograms("pimentohall_upstream_seconds",
                                 "Time of calls at the upstream.")),
       ready_(Gauge("pimentohall_ready", "1 if callers are welcome.")),
@@ -77,7 +83,11 @@
                         "Since the source last answered.")),
       peers_(Gauge("pimentohall_peers", "Other daemons heard.")),
       running_(Gauge("pimentohall_running", "Calls at the upstream.")),
-      queued_(Gauge("pimentohall_queued", "Calls that wait for it.")) {}
+      queued_(Gauge("pimentohall_queued", "Calls that wait for it.")),
+      rank_limit_(Gauge("pimentohall_rank_limit",
+                        "Highest rank that the egress takes at present.")),
+      limited_upstreams_(Gauge("pimentohall_limited_upstreams",
+                               "Upstreams whose reports limit ranks.")) {}
 
 void node_metrics::CountCall(const std::string& route, int status,
                              const char* source, const char* reason,
@@ -109,6 +119,14 @@
   source_->Add({{"result", result}}).Increment();
 }
 
+void node_metrics::CountRankRefusal(const std::string& route) {
+  rank_refusals_->Add({{"route", route}}).Increment();
+}
+
+void node_metrics::ObserveRetryAfter(core::duration wait) {
+  retry_after_->Add({}, kLatencyBounds).Observe(Seconds(wait));
+}
+
 void node_metrics::CountNews(bool sent, std::size_t bytes) {
   const char* direction = sent ? "sent" : "received";
   news_->Add({{"direction", direction}}).Increment();
@@ -146,6 +164,8 @@
   peers_->Set(static_cast<double>(values.peers));
   running_->Set(static_cast<double>(values.running));
   queued_->Set(static_cast<double>(values.queued));
+  rank_limit_->Set(values.rank_limit);
+  limited_upstreams_->Set(static_cast<double>(values.limited_upstreams));
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -28,6 +28,10 @@
   void ObserveUpstream(const std::string& outcome, core::duration took);
   void CountAttempt(bool is_repeat);
   void CountSource(const char* result);
+  // Counts a call that wasn't sent because no upstream takes its rank.
+  void CountRankRefusal(const std::string& route);
+  // Records the Retry-After that the pacer chose.
+  void ObserveRetryAfter(core::duration wait);
   void CountNews(bool sent, std::size_t bytes);
   void CountDroppedLogLines(std::uint64_t total);
 
@@ -48,6 +52,8 @@
     std::size_t peers = 0;
     std::size_t running = 0;
     std::size_t queued = 0;
+    int rank_limit = 0;
+    std::size_t limited_upstreams = 0;  // Whose reports limit ranks.
   };
   std::string Render(const gauges& values);
 
@@ -64,6 +70,7 @@
   prometheus::Family<prometheus::Counter>* calls_;
   prometheus::Family<prometheus::Counter>* attempts_;
   prometheus::Family<prometheus::Counter>* source_;
+  prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
   prometheus::Family<prometheus::Counter>* dropped_lines_;
@@ -72,6 +79,7 @@
   prometheus::Family<prometheus::Gauge>* client_bytes_;
   prometheus::Family<prometheus::Histogram>* call_time_;
   prometheus::Family<prometheus::Histogram>* queue_wait_;
+  prometheus::Family<prometheus::Histogram>* retry_after_;
   prometheus::Family<prometheus::Histogram>* upstream_time_;
   prometheus::Gauge* ready_;
   prometheus::Gauge* config_version_;
@@ -80,6 +88,8 @@
   prometheus::Gauge* peers_;
   prometheus::Gauge* running_;
   prometheus::Gauge* queued_;
+  prometheus::Gauge* rank_limit_;
+  prometheus::Gauge* limited_upstreams_;
 };
 
 }  // namespace pimentohall::node
--- a/src/sched/admission_gate.cc
+++ b/src/sched/admission_gate.cc
@@ -8,7 +8,7 @@
                               const std::string& upstream, int rank_limit,
                               instant now) {
   if (rank_limit >= rank_limiter::kNone || rank_limit < 0) {
-    limits_.erase({service, upstream});
+    if (!limits_.empty()) limits_.erase({service, upstream});
     return;
   }
   limits_[{service, upstream}] = {rank_limit, now};
--- a/src/sched/rank_limiter.cc
+++ b/src/sched/rank_limiter.cc
@@ -46,8 +46,10 @@
   // The rank at which the capacity is exceeded is still taken, in part.
   double before = 0;
   for (const auto& [rank, offered] : ranks_) {
-    if (before > kCutLoad * capacity) break;
-    limit_ = rank;
+    if (rank >= 0) {
+      if (limit_ != kNone && before > kCutLoad * capacity) break;
+      limit_ = rank;
+    }
     before += DecayedWork(offered, now);
   }
   if (!ranks_.empty() && limit_ == ranks_.rbegin()->first) limit_ = kNone;
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -95,6 +95,7 @@
     instant budget_end{};
     instant deadline{};  // Of this attempt.
     instant aim_at{};
+    duration spent{0};  // On earlier attempts, as the daemon estimates it.
     int retries_left = 0;
     bool patient = true;  // Honours Retry-After.
     bool nested = false;
@@ -184,9 +185,11 @@
                                          : Ms(which->kind->timeout_ms);
     which->deadline = std::min(which->budget_end, now_ + limit);
     which->aim_at = now_ + Ms(which->kind->aim_ms);
+    which->spent = duration{0};
     if (options_.aims_of_retries && !which->nested) {
-      which->aim_at -= budgets_[static_cast<std::size_t>(which->daemon)].Spent(
+      which->spent = budgets_[static_cast<std::size_t>(which->daemon)].Spent(
           which->kind->name, which->budget_end - now_, now_);
+      which->aim_at -= which->spent;
     }
     which->tried.clear();
     which->refusals = 0;
@@ -356,7 +359,8 @@
     std::vector<std::string> ids;
     for (const auto& each : candidates) ids.push_back(each.id);
     return gates_[static_cast<std::size_t>(which.daemon)].Admits(
-        which.kind->service, ids, which.kind->rank, ++gate_key_, now_);
+        which.kind->service, ids, which.kind->rank,
+        which.spent.count() > 0 ? 1 : ++gate_key_, now_);
   }
 
   // The body follows once the egress has accepted the call by its head.
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -136,6 +136,8 @@
 // No upstream takes calls from 10 s until then.
 inline constexpr double kAllBackS = 10.4;
 load_pattern AllComeBackPattern();
+// One service gets twice its capacity, in three ranks.
+load_pattern ThreeRanksPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -300,15 +300,38 @@
   return pattern;
 }
 
+// 36 slots run 300 calls a second; 630 arrive.
+load_pattern ThreeRanksPattern() {
+  load_pattern pattern;
+  pattern.name = "three ranks in one service";
+  pattern.answers = "the least urgent is shed first, and keeps its floor";
+  load_class urgent{"urgent", "shared", 210, 120, 0.5, 400, 1500, 800,
+                    1,        0.1,      0,   1,   "",  0,   0,    0};
+  load_class usual = urgent;
+  usual.name = "usual";
+  usual.rank = 1;
+  load_class spare = urgent;
+  spare.name = "spare";
+  spare.rank = 2;
+  pattern.classes = {urgent, usual, spare};
+  for (int i = 0; i < 6; ++i) {
+    load_upstream one;
+    one.service = "shared";
+    one.slots = 6;
+    pattern.upstreams.push_back(one);
+  }
+  return pattern;
+}
+
 std::vector<load_pattern> AllPatterns() {
   return {
-      CalmPattern(),       BurstPattern(1.4),       BurstPattern(2),
-      BurstPattern(3),     ScaleInPattern(),        SlowMinorityPattern(),
-      RetryStormPattern(), LeavingCallersPattern(), ColdZonePattern(),
-      FullCalleePattern(), LastCalleePattern(),     GreyMinorityPattern(),
-      WideFleetPattern(),  UploadsPattern(),        LoadedZonePattern(),
-      LostZonePattern(),   ShortCalleePattern(),    LastingOverloadPattern(),
-      AllComeBackPattern()};
+      CalmPattern(),        BurstPattern(1.4),       BurstPattern(2),
+      BurstPattern(3),      ScaleInPattern(),        SlowMinorityPattern(),
+      RetryStormPattern(),  LeavingCallersPattern(), ColdZonePattern(),
+      FullCalleePattern(),  LastCalleePattern(),     GreyMinorityPattern(),
+      WideFleetPattern(),   UploadsPattern(),        LoadedZonePattern(),
+      LostZonePattern(),    ShortCalleePattern(),    LastingOverloadPattern(),
+      AllComeBackPattern(), ThreeRanksPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -8,16 +8,18 @@
 namespace pimentohall::testing {
 namespace {
 
-load_result Mean(const load_pattern& pattern) {
+load_result Mean(const load_pattern& pattern,
+                 const load_options& options = {}) {
   constexpr int kSeeds = 3;
   load_result mean;
   mean.worst_window = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const load_result run = RunLoad(pattern, seed);
+    const load_result run = RunLoad(pattern, seed, options);
     mean.worth += run.worth / kSeeds;
     mean.served += run.served / kSeeds;
     mean.worst_window += run.worst_window / kSeeds;
     mean.held_in_vain += run.held_in_vain / kSeeds;
+    mean.refused_wait_ms += run.refused_wait_ms / kSeeds;
     mean.far_bytes += run.far_bytes / kSeeds;
     for (const auto& [name, counts] : run.classes) {
       class_result& sum = mean.classes[name];
@@ -149,6 +151,52 @@
   }
 }
 
+// Every call of a service that was short for long ended just before or just
+// after its aim (customer 1's high-load days).
+TEST_CASE("pattern: lasting overload of one service") {
+  const load_result before = Mean(LastingOverloadPattern());
+  const load_result after = Mean(LastingOverloadPattern(), OverloadControl());
+  CHECK(after.worth >= before.worth + 0.1);
+  const class_result& lodge = after.classes.at("lodge");
+  CHECK(lodge.in_aim >= 10 * lodge.late);
+  CHECK(after.classes.at("check").Served() >= 0.99);
+  CHECK(after.refused_wait_ms < before.refused_wait_ms);
+  CheckNoClassStarves(after);
+}
+
+// Guards against a wave of returning callers that overloads a service anew.
+TEST_CASE("pattern: all come back") {
+  constexpr double kRecoveryS = 2;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const load_result result =
+        RunLoad(AllComeBackPattern(), seed, OverloadControl());
+    const auto from = static_cast<std::size_t>(kAllBackS + kRecoveryS);
+    for (std::size_t i = from; i < from + 5; ++i) {
+      CAPTURE(i);
+      CHECK(result.worth_by_s.at(i) >= 0.95);
+    }
+  }
+}
+
+// In the order by aim, calls of the last rank got nothing during an overload.
+TEST_CASE("pattern: three ranks in one service") {
+  const load_result result = Mean(ThreeRanksPattern(), OverloadControl());
+  CHECK(result.classes.at("urgent").Served() >= 0.8);
+  CHECK(result.classes.at("urgent").Served() >
+        result.classes.at("usual").Served());
+  CheckNoClassStarves(result);
+}
+
+// Where overload control isn't needed, it must not cost more than this.
+TEST_CASE("patterns: overload control is no worse on any") {
+  constexpr double kMaxLoss = 0.02;
+  for (const load_pattern& pattern : AllPatterns()) {
+    CAPTURE(pattern.name);
+    CHECK(Mean(pattern, OverloadControl()).worth >=
+          Mean(pattern).worth - kMaxLoss);
+  }
+}
+
 TEST_CASE("a pattern is deterministic for a seed") {
   const load_result first = RunLoad(BurstPattern(3), 7);
   const load_result second = RunLoad(BurstPattern(3), 7);
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -201,6 +201,7 @@
     settings.news = {Address(i), ports[kNews]};
     settings.upstream = {Address(i), ports[kUpstream]};
     settings.retries = {0.2, 100, std::chrono::seconds(10)};
+    settings.overload_control = overload_control;
     return settings;
   }
 
@@ -299,6 +300,7 @@
   // `store`.
   std::vector<std::unique_ptr<testing::store_standin>> stores;
   nlohmann::json config;
+  sched::feature_mode overload_control = sched::feature_mode::kAuto;
   std::vector<std::unique_ptr<upstream_standin>> upstreams;
   std::map<int, std::unique_ptr<node>> nodes;
   stream::client_pool callers{net.loop,
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -547,6 +547,61 @@
   CHECK(state.find("key-1") == std::string::npos);
 }
 
+// ---------------------------------------------------------------------------
+// Overload.
+
+double RetryAfterS(const caller_exchange& call) {
+  const std::string wait(net::FindHeader(call.headers, "Retry-After"));
+  return wait.empty() ? -1 : std::stod(wait);
+}
+
+// Guards against calls that wait until their deadline for a slot that they
+// can't get in time. Without overload control they are queued, as before.
+TEST_CASE("a call that can't be in time is refused at once under overload") {
+  for (const auto mode :
+       {sched::feature_mode::kAuto, sched::feature_mode::kOff}) {
+    node_fleet fleet(1);
+    fleet.overload_control = mode;
+    fleet.Start();
+    fleet.upstreams[0]->script =
+        [](const std::shared_ptr<stream::server_exchange>&,
+           const std::string&) {};
+    std::vector<std::shared_ptr<caller_exchange>> calls;
+    for (int i = 0; i < 20; ++i) {
+      calls.push_back(fleet.StartCall(0, "POST", "/write/1", "x"));
+    }
+    fleet.RunFor(milliseconds(100));
+    int refused = 0;
+    for (const auto& call : calls) {
+      if (!call->ended) continue;
+      ++refused;
+      CHECK(call->status == 503);
+      CHECK(RetryAfterS(*call) >= 0);
+      CHECK(RetryAfterS(*call) <= 2.0 / 3);
+    }
+    CHECK((refused > 0) == (mode == sched::feature_mode::kAuto));
+    CHECK(fleet.Runs() == 4);
+  }
+}
+
+// Guards against slots for callers whose aim passed during earlier attempts:
+// the rest of the budget tells that they came before.
+TEST_CASE("a caller that comes back has the aim of its first attempt") {
+  node_fleet fleet(1);
+  fleet.Start();
+  fleet.upstreams[0]->script =
+      [](const std::shared_ptr<stream::server_exchange>&, const std::string&) {
+      };
+  for (int i = 0; i < 4; ++i) fleet.StartCall(0, "POST", "/write/1", "x");
+  REQUIRE(fleet.net.RunUntil([&] { return fleet.Runs() == 4; }));
+  const auto first = fleet.StartCall(0, "POST", "/write/1", "x");
+  const auto later = fleet.StartCall(0, "POST", "/write/1", "x", {}, "1500");
+  fleet.RunFor(milliseconds(60));
+  CHECK_FALSE(first->ended);
+  CHECK(later->status == 503);
+  CHECK(RetryAfterS(*later) <= 0.5);
+}
+
 // ---------------------------------------------------------------------------
 // Answers without end.
 
--- a/testing/unit/overload_test.cc
+++ b/testing/unit/overload_test.cc
@@ -76,6 +76,15 @@
   }
 }
 
+// Nested calls count as rank -1. A service full of them cut every route.
+TEST_CASE("the most urgent rank is never cut") {
+  rank_limiter limiter;
+  limiter.OnOffered(-1, seconds(9), kStart);
+  limiter.OnOffered(0, seconds(1), kStart);
+  limiter.OnOffered(1, seconds(1), kStart);
+  CHECK(limiter.Update(4, seconds(1), kStart) == 0);
+}
+
 // A limit that lowers the demand that it is derived from would end at once and
 // come back, several times a second.
 TEST_CASE("a steady load has a steady limit") {
