--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,5 +1,5 @@
-// load_patterns [SEEDS [OPTIONS [FIRST]]]: prints a table of every load pattern,
-// the mean over SEEDS seeds (default 5) from FIRST (1) on.
+// load_patterns [SEEDS [OPTIONS [FIRST]]]: prints a table of every load
+// pattern, the mean over SEEDS seeds (default 5) from FIRST (1) on.
 //
 // OPTIONS is a comma-separated list: a queue order (aim, newest, set, classes),
 // the parts of overload control that are used (retries, gate, pacer), and
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -356,6 +356,14 @@
                                 is_near ? near_period : far_period, instant{}));
   }
 
+  // Empty: not listed.
+  std::string ServiceOf(const std::string& upstream) const {
+    const auto found = fleet_.directory.Entries().find(upstream);
+    return found == fleet_.directory.Entries().end()
+               ? ""
+               : found->second.what.service;
+  }
+
   // Reports a change to all peers at once.
   void SendNewsToAll() { SendNews(true); }
 
@@ -379,7 +387,7 @@
       ReplyToFirstNews(news.address);
     }
     fleet_.allotments.OnNews(news, is_first, now);
-    if (news.load) fleet_.picker.OnNews(*news.load, now);
+    if (news.load) fleet_.OnLoad(ServiceOf(news.load->upstream), *news.load);
     for (const core::crash_report& report : news.crashes) {
       egress_.OnCrashNews(report);
     }
@@ -507,6 +515,8 @@
     gauges.pace = egress_.Monitor().Pace(now);
     gauges.usable_slots = egress_.UsableSlots(now);
     gauges.hidden_calls = egress_.Monitor().HiddenCalls(now);
+    gauges.rank_limit = egress_.RankLimit();
+    gauges.limited_upstreams = fleet_.gate.Size();
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     for (const auto& [name, server] : Listeners()) {
       fleet_.metrics.SetListener({name, server->Connections(),
@@ -556,6 +566,9 @@
     state["pace"] = egress_.Monitor().Pace(now);
     state["usable_slots"] = egress_.UsableSlots(now);
     state["hidden_calls"] = egress_.Monitor().HiddenCalls(now);
+    state["overload"] = {{"on", fleet_.UsesOverloadControl()},
+                         {"rank_limit", egress_.RankLimit()},
+                         {"limited_upstreams", fleet_.gate.Size()}};
     return state.dump(1);
   }
 
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -30,6 +30,10 @@
   void ObserveCostRatio(core::duration predicted, core::duration actual);
   void CountAttempt(bool is_repeat);
   void CountSource(const char* result);
+  // Counts a call that wasn't sent because no upstream takes its rank.
+  void CountRankRefusal(const std::string& route);
+  // Records the Retry-After that the pacer chose.
+  void ObserveRetryAfter(core::duration wait);
   void CountNews(bool sent, std::size_t bytes);
   void CountDroppedLogLines(std::uint64_t total);
 
@@ -54,6 +58,8 @@
     double pace = 1;
     int usable_slots = 0;
     int hidden_calls = 0;
+    int rank_limit = 0;
+    std::size_t limited_upstreams = 0;  // Whose reports limit ranks.
   };
   std::string Render(const gauges& values);
 
@@ -70,6 +76,7 @@
   prometheus::Family<prometheus::Counter>* calls_;
   prometheus::Family<prometheus::Counter>* attempts_;
   prometheus::Family<prometheus::Counter>* source_;
+  prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
   prometheus::Family<prometheus::Counter>* dropped_lines_;
@@ -78,6 +85,7 @@
   prometheus::Family<prometheus::Gauge>* client_bytes_;
   prometheus::Family<prometheus::Histogram>* call_time_;
   prometheus::Family<prometheus::Histogram>* queue_wait_;
+  prometheus::Family<prometheus::Histogram>* retry_after_;
   prometheus::Family<prometheus::Histogram>* upstream_time_;
   prometheus::Family<prometheus::Histogram>* cost_ratio_;
   prometheus::Gauge* ready_;
@@ -91,6 +99,8 @@
   prometheus::Gauge* pace_;
   prometheus::Gauge* usable_slots_;
   prometheus::Gauge* hidden_calls_;
+  prometheus::Gauge* rank_limit_;
+  prometheus::Gauge* limited_upstreams_;
 };
 
 }  // namespace pimentohall::node
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -142,6 +142,8 @@
 load_pattern AllComeBackPattern();
 load_pattern LookAlikesPattern();
 load_pattern TwoKindsPattern();
+// One service gets twice its capacity, in three ranks.
+load_pattern ThreeRanksPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
