Predict a call once, at its arrival at the egress

Cause: the prediction was repeated for the log line and the metric, which looked its series up for each run, and the log told the prediction after learning. Change: the call keeps its prediction; the switch counts as at its arrival. After: build/unit_tests -sf='*node_cost_test*,*cost_predictor_test*,*mesh_test*', 49 passed.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -113,7 +113,12 @@
   new_call->aim_at = new_call->received + milliseconds(new_call->info.aim_ms);
   DropFleetHeaders(&head.headers);
   new_call->head = std::move(head);
-  new_call->cost = CostKeyOf(new_call->info, new_call->head);
+  if (fleet_.UsesCostRouting()) {
+    new_call->cost = CostKeyOf(new_call->info, new_call->head);
+    new_call->predicted = fleet_.costs.Predict(
+        new_call->cost, milliseconds(new_call->info.typical_ms),
+        new_call->received);
+  }
   new_call->head_bytes = stream::MemoryOf(new_call->head);
   inbound->SetHeldBytes(new_call->head_bytes);
   calls_[new_call->id] = new_call;
@@ -224,21 +229,20 @@
 }
 
 sched::cost_estimate egress::ExpectedTime(const call& call) const {
-  const instant now = fleet_.loop.Now();
-  const duration typical = milliseconds(call.info.typical_ms);
-  if (fleet_.UsesCostRouting()) {
-    const auto cost = fleet_.costs.Predict(call.cost, typical, now);
+  if (call.predicted) {
     const double slowness = usual_slowness_.Value();
-    return {Scale(cost.mean, slowness), Scale(cost.high, slowness)};
+    return {Scale(call.predicted->mean, slowness),
+            Scale(call.predicted->high, slowness)};
   }
-  const duration time =
-      times_.Expect(call.info.route, Scale(typical, slowness_), now);
+  const duration typical = milliseconds(call.info.typical_ms);
+  const duration time = times_.Expect(
+      call.info.route, Scale(typical, slowness_), fleet_.loop.Now());
   return {time, time};
 }
 
 duration egress::RemainingTime(const call& call, instant now) const {
   const duration age = now - call.started;
-  if (fleet_.UsesCostRouting()) {
+  if (call.predicted) {
     const double slowness = usual_slowness_.Value();
     const duration left =
         fleet_.costs.Remaining(call.cost, Scale(age, 1 / slowness),
@@ -267,7 +271,7 @@
   item.deadline = std::min(call.deadline, fleet_.stop_ends_at) - kAnswerMargin;
   const sched::cost_estimate time = ExpectedTime(call);
   item.expected = time.mean;
-  if (fleet_.UsesCostRouting()) item.high = time.high;
+  if (call.predicted) item.high = time.high;
   return item;
 }
 
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -81,7 +81,7 @@
 }
 
 void egress::ObserveCost(const call& call, duration took, instant now) {
-  if (!fleet_.UsesCostRouting()) return;
+  if (!call.predicted) return;
   fleet_.metrics.ObserveCostRatio(ExpectedTime(call).mean, took);
   const double slowness = usual_slowness_.Value();
   fleet_.costs.Observe(
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -4,6 +4,7 @@
 // A call at the egress, and constants that the egress's source files share.
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/egress.h"
@@ -23,6 +24,8 @@
   stream::message_head head;
   call_header info;
   sched::cost_key cost;
+  // At its arrival, for an upstream of usual speed; none without cost routing.
+  std::optional<sched::cost_estimate> predicted;
   std::string caller_id;  // The caller's own id of its request.
   instant received{};
   instant deadline{};
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -71,8 +71,8 @@
                              "Time that started calls waited here.")),
       upstream_time_(Histograms("pimentohall_upstream_seconds",
                                 "Time of calls at the upstream.")),
-      cost_ratio_(Histograms("pimentohall_cost_ratio",
-                             "Predicted / actual time at the upstream.")),
+      cost_ratios_(Histograms("pimentohall_cost_ratio",
+                              "Predicted / actual time at the upstream.")),
       ready_(Gauge("pimentohall_ready", "1 if callers are welcome.")),
       config_version_(Gauge("pimentohall_config_version",
                             "Configuration in force; 0: none.")),
@@ -109,8 +109,10 @@
 void node_metrics::ObserveCostRatio(core::duration predicted,
                                     core::duration actual) {
   if (actual.count() <= 0) return;
-  cost_ratio_->Add({}, kRatioBounds)
-      .Observe(Seconds(predicted) / Seconds(actual));
+  if (cost_ratio_ == nullptr) {
+    cost_ratio_ = &cost_ratios_->Add({}, kRatioBounds);
+  }
+  cost_ratio_->Observe(Seconds(predicted) / Seconds(actual));
 }
 
 void node_metrics::CountAttempt(bool is_repeat) {
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -75,7 +75,8 @@
   prometheus::Family<prometheus::Histogram>* call_time_;
   prometheus::Family<prometheus::Histogram>* queue_wait_;
   prometheus::Family<prometheus::Histogram>* upstream_time_;
-  prometheus::Family<prometheus::Histogram>* cost_ratio_;
+  prometheus::Family<prometheus::Histogram>* cost_ratios_;
+  prometheus::Histogram* cost_ratio_ = nullptr;  // None before the first run.
   prometheus::Gauge* ready_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* config_age_;
