--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -97,7 +97,7 @@
 }
 
 void egress::ObserveCost(const call& call, duration took, instant now) {
-  if (!fleet_.UsesCostRouting()) return;
+  if (!call.predicted) return;
   fleet_.metrics.ObserveCostRatio(ExpectedTime(call).mean, took);
   fleet_.costs.Observe(
       call.cost, std::chrono::duration_cast<duration>(took / TimeFactor(now)),
