Decide by zone, not by upstream, whether a far call needs a larger advantage

Cause: with hysteresis by upstream, a daemon without a near upstream stayed with the far one that it used last.

Change: the cost of a far call depends on whether the daemon uses any far candidate at present; it is the same for all far candidates.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -528,9 +528,8 @@
 //   - An upstream of another zone gets a bounded number of calls of this daemon
 //     between two of its reports, as the other daemons see it free as well. The
 //     bound doesn't apply if no other candidate is left.
-//   - An upstream of another zone that isn't used at present needs a larger
-//     advantage than one that is, so that calls don't change zones with every
-//     report.
+//   - While no upstream of another zone is used, one needs a larger advantage
+//     than while one is, so that calls don't change zones with every report.
 class target_picker {
  public:
   explicit target_picker(std::uint64_t seed) : random_(seed | 1) {}
@@ -579,9 +578,10 @@
   };
   // The last report, as far as it still counts.
   load_news WeightedNews(const state& target, instant now) const;
-  // Added to the score of an upstream in another zone.
-  double FarCostMs(const state& target, const call_profile& call,
-                   instant now) const;
+  // Cost of a call to another zone, as a share of the call's usual duration.
+  double FarShare(const std::vector<candidate>& candidates, instant now) const;
+  double ScoreMs(const candidate& target, const call_profile& call,
+                 double far_share, instant now) const;
   // This daemon has sent it as many calls since its last report as it may.
   bool IsAtFarBound(const candidate& target) const;
   double FailureShare(const state& target, instant now) const;
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -23,7 +23,7 @@
 // with a smaller one, the draw alone would make calls change zones.
 constexpr double kFarShareInUse = 0.25;
 constexpr double kFarShareNotInUse = 0.75;
-// An upstream is in use for this long after a pick: as long as the usual time
+// Other zones are in use for this long after a pick: as long as the usual time
 // between two reports of a daemon in another zone.
 constexpr duration kFarUse = std::chrono::milliseconds(600);
 // Share of the slots of an upstream in another zone that this daemon may fill
@@ -122,17 +122,18 @@
   return weighted;
 }
 
-double target_picker::FarCostMs(const state& target, const call_profile& call,
-                                instant now) const {
-  constexpr double kBytesPerKb = 1000;
-  const bool is_in_use =
-      target.far_pick_at && now - *target.far_pick_at <= kFarUse;
-  const double share = !cost_routing_
-                           ? kFarShare
-                           : (is_in_use ? kFarShareInUse : kFarShareNotInUse);
-  const double typical_ms =
-      std::chrono::duration<double, std::milli>(call.typical).count();
-  return kFarMs + share * typical_ms + kFarMsPerKb * call.bytes / kBytesPerKb;
+double target_picker::FarShare(const std::vector<candidate>& candidates,
+                               instant now) const {
+  if (!cost_routing_) return kFarShare;
+  const bool is_in_use = std::any_of(
+      candidates.begin(), candidates.end(), [&](const candidate& each) {
+        if (each.is_near) return false;
+        const auto found = states_.find(each.id);
+        if (found == states_.end()) return false;
+        const auto& picked_at = found->second.far_pick_at;
+        return picked_at && now - *picked_at <= kFarUse;
+      });
+  return is_in_use ? kFarShareInUse : kFarShareNotInUse;
 }
 
 bool target_picker::IsAtFarBound(const candidate& target) const {
@@ -145,6 +146,11 @@
 
 double target_picker::ScoreMs(const candidate& target, const call_profile& call,
                               instant now) const {
+  return ScoreMs(target, call, FarShare({target}, now), now);
+}
+
+double target_picker::ScoreMs(const candidate& target, const call_profile& call,
+                              double far_share, instant now) const {
   constexpr double kBytesPerKb = 1000;
   const double typical_ms =
       std::chrono::duration<double, std::milli>(call.typical).count();
@@ -164,7 +170,9 @@
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
          kFailureCost * typical_ms * FailureShare(known, now) +
          TransitMs(known, now) * (1 + call.bytes / (kTransitKb * kBytesPerKb)) +
-         (target.is_near ? 0 : FarCostMs(known, call, now));
+         (target.is_near ? 0
+                         : kFarMs + far_share * typical_ms +
+                               kFarMsPerKb * call.bytes / kBytesPerKb);
 }
 
 std::optional<std::size_t> target_picker::Pick(
@@ -173,13 +181,14 @@
     instant now) {
   std::vector<std::pair<double, std::size_t>> scored;
   std::vector<std::pair<double, std::size_t>> bounded;
+  const double far_share = FarShare(candidates, now);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const std::string& id = candidates[i].id;
     if (std::find(tried.begin(), tried.end(), id) != tried.end()) continue;
     const auto found = states_.find(id);
     if (found != states_.end() && found->second.backoff_until > now) continue;
     auto& list = IsAtFarBound(candidates[i]) ? bounded : scored;
-    list.emplace_back(ScoreMs(candidates[i], call, now), i);
+    list.emplace_back(ScoreMs(candidates[i], call, far_share, now), i);
   }
   if (scored.empty()) scored = std::move(bounded);
   if (scored.empty()) return std::nullopt;
