Let a late call wait if its body was carried

Cause: in "a zone lost its upstreams", uploads that were late after their way over a full link were refused although the egress had asked for their body.

Change: a call accepted by work_queue::Check before its body came may wait late in the queue, as without overload control.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -615,6 +615,9 @@
   duration high{0};      // 80th percentile of that time; 0: not known.
   // Calls of one group (a tenant's calls on a route) are served alike.
   std::uint64_t group = 0;
+  // Its large body was sent here after `work_queue::Check` had accepted it. If
+  // it were refused now, the body would go over a link again.
+  bool carried = false;
 };
 
 // Which of the calls in a queue go first, and which are admitted.
@@ -643,6 +646,12 @@
 // nested ones, then by rank, then by earliest aim (nested ones: deadline). Late
 // calls start only when no other waits. Every `kOldestFirstInterval`-th start
 // goes to the call that has waited longest, so that no rank starves.
+//
+// This is `queue_order::kEarliestAim`. The other orders are for overload. With
+// them a call counts as in time if the high estimate of its time fits its aim;
+// a late one is refused unless a slot is free or its body was carried; and a
+// group that is served much less often than the mean goes first, in place of
+// the call that has waited longest (see `sched::service_floor`).
 class work_queue {
  public:
   static constexpr int kOldestFirstInterval = 20;
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -87,7 +87,7 @@
   order_key (*key)(const work_item&, bool owed, bool late, bool behind);
   bool keeps_feasible_set;
   // Late calls wait for the share of the slots that calls in time leave free.
-  // If not, they are refused unless a slot is free.
+  // If not, they are refused unless a slot is free or they are carried.
   bool queues_late;
   bool has_floor;  // By group, in place of `kOldestFirstInterval`.
 };
@@ -102,6 +102,10 @@
   return kRules[static_cast<int>(order)];
 }
 
+bool MayWaitLate(const work_item& item, queue_order order) {
+  return RulesOf(order).queues_late || item.carried;
+}
+
 // Nested calls go before all others, whatever their rank.
 int DemandRank(const work_item& item) { return item.nested ? -1 : item.rank; }
 
@@ -217,7 +221,7 @@
   }
   duration wait = Scale(before, 1.0 / slots);
   if (RulesOf(order_).is_in_time(item, now + wait)) return admission::kInTime;
-  if (!owed && !RulesOf(order_).queues_late) {
+  if (!owed && !MayWaitLate(item, order_)) {
     const bool has_free_slot = running.count() == 0 && items_.empty();
     if (!has_free_slot) return tl::unexpected(refusal);
   } else if (!owed) {
@@ -299,7 +303,7 @@
     const work_item& item = *at.item;
     const duration wait = Scale(work, 1.0 / slots);
     if (RulesOf(order_).is_in_time(item, now + wait)) return false;
-    if (!at.owed && !RulesOf(order_).queues_late) return true;
+    if (!at.owed && !MayWaitLate(item, order_)) return true;
     const duration min_time = Scale(item.expected, kMinTimeShare);
     const double share = at.owed ? 1 : late_share;
     return now + Scale(wait, kOvertakenShare / share) + min_time >
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -239,6 +239,7 @@
   item.deadline = std::min(call.deadline, fleet_.stop_ends_at) - kAnswerMargin;
   item.expected = ExpectedTime(call.info);
   item.group = call.group;
+  item.carried = call.carried;
   return item;
 }
 
@@ -262,6 +263,7 @@
     Refuse(call, checked.error().why, checked.error().retry_after);
     return;
   }
+  call->carried = true;
   call->inbound->AcceptBody();
 }
 
--- a/src/node/egress_call.h
+++ b/src/node/egress_call.h
@@ -33,6 +33,7 @@
   bool streams_body = false;  // Too large to be buffered whole.
   bool queued = false;
   std::uint64_t group = 0;  // Of its tenant and route.
+  bool carried = false;     // Its body was asked for.
   std::uint64_t fingerprint = 0;
   std::string upstream;  // Id of the upstream that runs the call.
   std::shared_ptr<stream::exchange> exchange;
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -415,6 +415,7 @@
         options_.aims_of_retries ? which.aim_at : now_ + Ms(which.kind->aim_ms);
     item.deadline = which.deadline;
     item.expected = Expected(at, *which.kind);
+    item.carried = which.kind->bytes > 0 && which.at != nullptr;
     item.group = std::hash<std::string>()(which.kind->name);
     return item;
   }
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -8,19 +8,19 @@
 namespace pimentohall::testing {
 namespace {
 
-load_result Mean(const load_pattern& pattern,
-                 const load_options& options = {}) {
-  constexpr int kSeeds = 3;
+load_result Mean(const load_pattern& pattern, const load_options& options = {},
+                 int seeds = 3) {
   load_result mean;
   mean.worst_window = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    const load_result run = RunLoad(pattern, seed, options);
-    mean.worth += run.worth / kSeeds;
-    mean.served += run.served / kSeeds;
-    mean.worst_window += run.worst_window / kSeeds;
-    mean.held_in_vain += run.held_in_vain / kSeeds;
-    mean.refused_wait_ms += run.refused_wait_ms / kSeeds;
-    mean.far_bytes += run.far_bytes / kSeeds;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    const load_result run =
+        RunLoad(pattern, static_cast<std::uint64_t>(seed), options);
+    mean.worth += run.worth / seeds;
+    mean.served += run.served / seeds;
+    mean.worst_window += run.worst_window / seeds;
+    mean.held_in_vain += run.held_in_vain / seeds;
+    mean.refused_wait_ms += run.refused_wait_ms / seeds;
+    mean.far_bytes += run.far_bytes / seeds;
     for (const auto& [name, counts] : run.classes) {
       class_result& sum = mean.classes[name];
       sum.asked += counts.asked;
@@ -190,10 +190,12 @@
 // Where overload control isn't needed, it must not cost more than this.
 TEST_CASE("patterns: overload control is no worse on any") {
   constexpr double kMaxLoss = 0.02;
+  // Some collapses show in one seed of eight.
+  constexpr int kSeeds = 8;
   for (const load_pattern& pattern : AllPatterns()) {
     CAPTURE(pattern.name);
-    CHECK(Mean(pattern, OverloadControl()).worth >=
-          Mean(pattern).worth - kMaxLoss);
+    CHECK(Mean(pattern, OverloadControl(), kSeeds).worth >=
+          Mean(pattern, {}, kSeeds).worth - kMaxLoss);
   }
 }
 
--- a/testing/unit/queue_order_test.cc
+++ b/testing/unit/queue_order_test.cc
@@ -90,6 +90,20 @@
   }
 }
 
+// Uploads that were late after their way were refused and sent again, which
+// filled the links further ("a zone lost its upstreams", seed 7).
+TEST_CASE("queue orders: a late call whose body was carried may wait") {
+  for (const queue_order order : kOverloadOrders) {
+    work_queue queue;
+    queue.SetOrder(order);
+    work_item late = Item(1, 0, 10, 100);
+    late.deadline = kStart + seconds(9);
+    late.carried = true;
+    CHECK(queue.Push(late, 1, milliseconds(1), kStart));
+    CHECK(queue.DropOvertaken(1, milliseconds(50), kStart).empty());
+  }
+}
+
 TEST_CASE("queue orders: what can't end in time is refused while it waits") {
   for (const queue_order order : kOverloadOrders) {
     work_queue queue;
