--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -283,6 +283,7 @@
   const sched::cost_estimate time = ExpectedTime(call);
   item.expected = time.mean;
   if (call.predicted) item.high = time.high;
+  item.carried = call.carried;
   return item;
 }
 
@@ -310,6 +311,7 @@
     Refuse(call, checked.error().why, checked.error().retry_after);
     return;
   }
+  call->carried = true;
   call->inbound->AcceptBody();
 }
 
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -453,6 +453,7 @@
     item.aim_at =
         options_.aims_of_retries ? which.aim_at : now_ + Ms(which.kind->aim_ms);
     item.deadline = which.deadline;
+    item.carried = which.kind->bytes > 0 && which.at != nullptr;
     item.group = std::hash<std::string>()(which.kind->name);
     const sched::cost_estimate time = Expected(at, *which.kind);
     item.expected = time.mean;
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -217,10 +217,12 @@
 // Where overload control isn't needed, it must not cost more than this.
 TEST_CASE("patterns: overload control is no worse on any") {
   constexpr double kMaxLoss = 0.02;
+  // Some collapses show in one seed of eight.
+  constexpr int kSeeds = 8;
   for (const load_pattern& pattern : AllPatterns()) {
     CAPTURE(pattern.name);
-    CHECK(Mean(pattern, OverloadControl()).worth >=
-          Mean(pattern).worth - kMaxLoss);
+    CHECK(Mean(pattern, OverloadControl(), kSeeds).worth >=
+          Mean(pattern, {}, kSeeds).worth - kMaxLoss);
   }
 }
 
