--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -545,6 +545,10 @@
   std::optional<std::size_t> Pick(const std::vector<candidate>& candidates,
                                   const std::vector<std::string>& tried,
                                   const call_profile& call, instant now);
+  // Expected time until one of the candidates starts a call, at the least; none
+  // without candidates. Candidates that haven't reported count as idle.
+  std::optional<duration> LeastWait(const std::vector<candidate>& candidates,
+                                    duration typical, instant now) const;
   // Expected time until the answer, in milliseconds, plus penalties for recent
   // failures and for another zone. `Pick` prefers low scores.
   double ScoreMs(const candidate& target, const call_profile& call,
@@ -561,6 +565,7 @@
     double transit_ms = 0;  // Decaying mean at `transit_at`.
     instant transit_at{};
   };
+  static double WaitMs(const state& target, double slots, double call_ms);
   double FailureShare(const state& target, instant now) const;
   double TransitMs(const state& target, instant now) const;
   std::uint64_t Random();
@@ -641,6 +646,9 @@
                                         duration running, instant now);
   // Removes and returns the call to start now; none if the queue is empty.
   std::optional<work_item> Pop(instant now);
+  // The same among the nested calls.
+  std::optional<work_item> PopNested(instant now);
+  bool HasNested() const;
   bool Remove(std::uint64_t id);
   // Removes and returns calls that can no longer end before their deadline.
   std::vector<work_item> Expire(instant now);
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -88,6 +88,41 @@
   return target.transit_ms * std::exp2(-age.count() / kTransitHalfLifeS);
 }
 
+// Expected time until the upstream starts a call that is sent now.
+double target_picker::WaitMs(const state& target, double slots,
+                             double call_ms) {
+  const double load =
+      target.last.running + target.last.queued + target.sent_since;
+  const double excess = std::max(0.0, load + 1 - slots);
+  return excess > 0 ? std::max(target.last.backlog_ms, excess / slots * call_ms)
+                    : 0;
+}
+
+std::optional<duration> target_picker::LeastWait(
+    const std::vector<candidate>& candidates, duration typical,
+    instant now) const {
+  const double typical_ms =
+      std::chrono::duration<double, std::milli>(typical).count();
+  std::optional<double> least;
+  for (const candidate& each : candidates) {
+    const auto found = states_.find(each.id);
+    if (found == states_.end()) return duration{0};
+    const state& known = found->second;
+    const double slots =
+        std::max(1, known.last.slots > 0 ? known.last.slots : each.slots);
+    const double backoff_ms =
+        std::chrono::duration<double, std::milli>(known.backoff_until - now)
+            .count();
+    const double wait_ms = std::max(
+        backoff_ms,
+        WaitMs(known, slots, typical_ms * std::max(0.1, known.last.slowness)));
+    least = std::min(least.value_or(wait_ms), wait_ms);
+  }
+  if (!least) return std::nullopt;
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(*least));
+}
+
 double target_picker::ScoreMs(const candidate& target, const call_profile& call,
                               instant now) const {
   constexpr double kBytesPerKb = 1000;
@@ -101,10 +136,7 @@
   double call_ms = typical_ms * std::max(0.1, known.last.slowness);
   if (target.is_cold) call_ms *= kColdFactor;
   const double load = known.last.running + known.last.queued + known.sent_since;
-  const double excess = std::max(0.0, load + 1 - slots);
-  const double wait_ms =
-      excess > 0 ? std::max(known.last.backlog_ms, excess / slots * call_ms)
-                 : 0;
+  const double wait_ms = WaitMs(known, slots, call_ms);
   const double utilisation = std::min(1.0, load / slots);
   return wait_ms +
          call_ms * (1 + kUtilisationCost * utilisation * utilisation) +
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -141,6 +141,24 @@
   return item;
 }
 
+std::optional<work_item> work_queue::PopNested(instant now) {
+  const auto next =
+      std::min_element(items_.begin(), items_.end(),
+                       [now](const work_item& a, const work_item& b) {
+                         return std::make_pair(!a.nested, OrderKey(a, now)) <
+                                std::make_pair(!b.nested, OrderKey(b, now));
+                       });
+  if (next == items_.end() || !next->nested) return std::nullopt;
+  work_item item = *next;
+  items_.erase(next);
+  return item;
+}
+
+bool work_queue::HasNested() const {
+  return std::any_of(items_.begin(), items_.end(),
+                     [](const work_item& item) { return item.nested; });
+}
+
 bool work_queue::Remove(std::uint64_t id) {
   const auto found =
       std::find_if(items_.begin(), items_.end(),
