--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -565,6 +565,10 @@
   std::optional<std::size_t> Pick(const std::vector<candidate>& candidates,
                                   const std::vector<std::string>& tried,
                                   const call_profile& call, instant now);
+  // Expected time until one of the candidates starts a call, at the least; none
+  // without candidates. Candidates that haven't reported count as idle.
+  std::optional<duration> LeastWait(const std::vector<candidate>& candidates,
+                                    duration typical, instant now) const;
   // Expected time until the answer, in milliseconds, plus penalties for recent
   // failures and for another zone. `Pick` prefers low scores.
   double ScoreMs(const candidate& target, const call_profile& call,
@@ -712,6 +716,9 @@
   // Removes and returns the call to start now; none if the queue is empty.
   // `running`: expected remaining time of the running calls.
   std::optional<work_item> Pop(instant now, duration running = duration{0});
+  // The same among the nested calls.
+  std::optional<work_item> PopNested(instant now);
+  bool HasNested() const;
   bool Remove(std::uint64_t id);
   // Removes and returns calls that can no longer end before their deadline.
   std::vector<work_item> Expire(instant now);
--- a/src/mesh/target_picker.cc
+++ b/src/mesh/target_picker.cc
@@ -170,6 +170,35 @@
   return found->second.sent_since >= bound;
 }
 
+std::optional<duration> target_picker::LeastWait(
+    const std::vector<candidate>& candidates, duration typical,
+    instant now) const {
+  const double typical_ms =
+      std::chrono::duration<double, std::milli>(typical).count();
+  std::optional<double> least;
+  for (const candidate& each : candidates) {
+    const auto found = states_.find(each.id);
+    if (found == states_.end()) return duration{0};
+    const state& known = found->second;
+    const double slots =
+        std::max(1, known.last.slots > 0 ? known.last.slots : each.slots);
+    const double backoff_ms =
+        std::chrono::duration<double, std::milli>(known.backoff_until - now)
+            .count();
+    call_profile call;
+    call.typical = typical;
+    const load_news news = WeightedNews(known, now);
+    const double call_ms =
+        typical_ms * std::max(0.1, news.slowness) * news.pace;
+    const double wait_ms =
+        std::max(backoff_ms, WaitMs(news, known, call, slots, call_ms));
+    least = std::min(least.value_or(wait_ms), wait_ms);
+  }
+  if (!least) return std::nullopt;
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double, std::milli>(*least));
+}
+
 double target_picker::ScoreMs(const candidate& target, const call_profile& call,
                               instant now) const {
   return ScoreMs(target, call, FarShare({target}, now), now);
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -274,6 +274,21 @@
   return item;
 }
 
+std::optional<work_item> work_queue::PopNested(instant now) {
+  for (const place& each : Plan(nullptr, slots_, duration{0}, now)) {
+    if (!each.item->nested) continue;
+    work_item item = *each.item;
+    Remove(item.id);
+    return item;
+  }
+  return std::nullopt;
+}
+
+bool work_queue::HasNested() const {
+  return std::any_of(items_.begin(), items_.end(),
+                     [](const work_item& item) { return item.nested; });
+}
+
 bool work_queue::Remove(std::uint64_t id) {
   const auto found =
       std::find_if(items_.begin(), items_.end(),
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -52,6 +52,8 @@
   std::size_t Queued() const { return queue_.Size(); }
   // Higher ranks aren't taken at present.
   int RankLimit() const { return queue_.RankLimit(); }
+  // Slots that are kept for nested calls.
+  int ReservedSlots(instant now) const;
   const stream::server& Server() const { return server_; }
 
   std::optional<mesh::load_news> Load() const;
@@ -83,8 +85,12 @@
   void DecideBeforeBody(const call_ptr& call);
   void Enqueue(const call_ptr& call);
   mesh::work_item WorkItem(const call& call) const;
-  // Expected remaining time of the running calls; 0 if a slot is free.
+  // Expected remaining time of the running calls; 0 if a slot is free for this
+  // one.
   duration WorkAhead(const call& call, instant now) const;
+  bool HasSlot(bool nested, instant now) const;
+  // Whether a slot is free for a call that waits.
+  bool CanStartOne(instant now) const;
   // Starts queued calls while the upstream has free slots.
   void StartQueuedCalls();
   void StartCall(const call_ptr& call);
@@ -118,6 +124,8 @@
   outcome_header BuildOutcome(const call& call, outcome result,
                               core::reason reason, instant now) const;
   void SendAnswer(const call_ptr& call);
+  // Adds what runs of the call's route need, if its ingress is due for it.
+  void AddNeeds(const call& call, instant now, outcome_header* outcome_info);
   void RemoveCall(const call_ptr& call);
   void LogEnd(const call& call, outcome result, core::reason reason);
 
@@ -155,6 +163,8 @@
   bool controls_overload_ = false;  // As of the last `SetQueueOrder`.
   mesh::warmup_gate gate_;
   mesh::time_estimator times_;
+  sched::nested_reserve reserve_;
+  sched::need_reporter need_reports_;
   double slowness_ = 1;
   sched::upstream_monitor monitor_;
   sched::shed_breaker breaker_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -517,6 +517,7 @@
     gauges.hidden_calls = egress_.Monitor().HiddenCalls(now);
     gauges.rank_limit = egress_.RankLimit();
     gauges.limited_upstreams = fleet_.gate.Size();
+    gauges.reserved_slots = egress_.ReservedSlots(now);
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     for (const auto& [name, server] : Listeners()) {
       fleet_.metrics.SetListener({name, server->Connections(),
@@ -569,9 +570,27 @@
     state["overload"] = {{"on", fleet_.UsesOverloadControl()},
                          {"rank_limit", egress_.RankLimit()},
                          {"limited_upstreams", fleet_.gate.Size()}};
+    state["reserved_slots"] = egress_.ReservedSlots(now);
+    if (fleet_.config) {
+      for (const mesh::route& route : fleet_.config->Parts().routes) {
+        AddNeeds(route.name, now, &state);
+      }
+    }
     return state.dump(1);
   }
 
+  void AddNeeds(const std::string& route, instant now,
+                nlohmann::ordered_json* state) {
+    for (const sched::callee_need& need : fleet_.needs.Needs(route, now)) {
+      (*state)["needs"][route][need.service] = {
+          {"calls", need.calls},
+          {"time_ms", MsText(need.time)},
+          {"budget_ms", MsText(need.budget)},
+          {"in_time", need.in_time},
+          {"admitted_share", fleet_.callees.Share(need.service)}};
+    }
+  }
+
   adapter adapter_;
   fleet_state fleet_;
   std::set<std::string> zones_out_;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -52,6 +52,8 @@
                       "Callers' calls that ended, by route and outcome.")),
       attempts_(Counters("pimentohall_attempts_total",
                          "Attempts forwarded to a daemon.")),
+      nested_(Counters("pimentohall_nested_total",
+                       "Nested calls and runs refused for their sake.")),
       source_(Counters("pimentohall_source_answers_total",
                        "Answers of the configuration source, by result.")),
       rank_refusals_(
@@ -101,7 +103,9 @@
       rank_limit_(Gauge("pimentohall_rank_limit",
                         "Highest rank that the egress takes at present.")),
       limited_upstreams_(Gauge("pimentohall_limited_upstreams",
-                               "Upstreams whose reports limit ranks.")) {}
+                               "Upstreams whose reports limit ranks.")),
+      reserved_slots_(Gauge("pimentohall_reserved_slots",
+                            "Slots that callers' calls may not take.")) {}
 
 void node_metrics::CountCall(const std::string& route, int status,
                              const char* source, const char* reason,
@@ -138,6 +142,10 @@
   attempts_->Add({{"repeat", is_repeat ? "true" : "false"}}).Increment();
 }
 
+void node_metrics::CountNested(const char* event) {
+  nested_->Add({{"event", event}}).Increment();
+}
+
 void node_metrics::CountSource(const char* result) {
   source_->Add({{"result", result}}).Increment();
 }
@@ -193,6 +201,7 @@
   hidden_calls_->Set(values.hidden_calls);
   rank_limit_->Set(values.rank_limit);
   limited_upstreams_->Set(static_cast<double>(values.limited_upstreams));
+  reserved_slots_->Set(values.reserved_slots);
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -29,6 +29,9 @@
   // `predicted` and `actual` time of a run that was answered.
   void ObserveCostRatio(core::duration predicted, core::duration actual);
   void CountAttempt(bool is_repeat);
+  // `event`: "in_time" or "late_or_refused" of a nested call, "run_refused" of
+  // a caller's call whose run needs a full service.
+  void CountNested(const char* event);
   void CountSource(const char* result);
   // Counts a call that wasn't sent because no upstream takes its rank.
   void CountRankRefusal(const std::string& route);
@@ -60,6 +63,7 @@
     int hidden_calls = 0;
     int rank_limit = 0;
     std::size_t limited_upstreams = 0;  // Whose reports limit ranks.
+    int reserved_slots = 0;
   };
   std::string Render(const gauges& values);
 
@@ -75,6 +79,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>* calls_;
   prometheus::Family<prometheus::Counter>* attempts_;
+  prometheus::Family<prometheus::Counter>* nested_;
   prometheus::Family<prometheus::Counter>* source_;
   prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
@@ -102,6 +107,7 @@
   prometheus::Gauge* hidden_calls_;
   prometheus::Gauge* rank_limit_;
   prometheus::Gauge* limited_upstreams_;
+  prometheus::Gauge* reserved_slots_;
 };
 
 }  // namespace pimentohall::node
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -76,6 +76,11 @@
   double no_upstream_ms = 0;
   double length_s = 30;
   bool uses_cost_routing = false;
+  // Daemons learn which calls runs make, refuse calls whose callees are full,
+  // reserve slots for nested calls, and refuse those only as a last resort.
+  bool nested_control = false;
+  // Every other daemon is of the previous version, without nested control.
+  bool half_updated = false;
 };
 
 struct class_result {
@@ -98,6 +103,8 @@
   double held_in_vain = 0;
   // Bytes that crossed zones, as a share of those that all calls had to carry.
   double far_bytes = 0;
+  // Reports of needs between daemons, as a share of the answers to calls.
+  double need_reports = 0;
   std::map<std::string, class_result> classes;
   // Earned / owed by second of the first attempt.
   std::vector<double> worth_by_s;
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -175,18 +175,21 @@
     store.Put("op/config", config.dump());
   }
   void PutEntry(int i, const std::string& state = "ready") {
-    store.Put("servers/i-" + std::to_string(i),
-              nlohmann::json{{"service", "ledger"},
-                             {"address", Address(i) + ":" +
-                                             std::to_string(ports[kUpstream])},
-                             {"zone", "z"},
-                             {"version", "v1"},
-                             {"slots", 4},
-                             {"state", state},
-                             {"warmupLeftMs", 0},
-                             {"sequence", 1},
-                             {"born", 1000 + i}}
-                  .dump());
+    store.Put(
+        "servers/i-" + std::to_string(i),
+        nlohmann::json{
+            {"service", i < static_cast<int>(services.size())
+                            ? services[static_cast<std::size_t>(i)]
+                            : "ledger"},
+            {"address", Address(i) + ":" + std::to_string(ports[kUpstream])},
+            {"zone", i == far_upstream ? "far" : "z"},
+            {"version", "v1"},
+            {"slots", 4},
+            {"state", state},
+            {"warmupLeftMs", 0},
+            {"sequence", 1},
+            {"born", 1000 + i}}
+            .dump());
   }
 
   node_settings MakeSettings(int i) const {
@@ -303,6 +306,8 @@
   // `store`.
   std::vector<std::unique_ptr<testing::store_standin>> stores;
   nlohmann::json config;
+  std::vector<std::string> services;  // By upstream; further ones: "ledger".
+  int far_upstream = -1;  // In another zone than the daemons; -1: none.
   // Of daemons that start later.
   sched::feature_mode overload_control = sched::feature_mode::kAuto;
   sched::feature_mode cost_routing = sched::feature_mode::kAuto;
