--- a/testing/unit/cost_predictor_test.cc
+++ b/testing/unit/cost_predictor_test.cc
@@ -53,7 +53,7 @@
   const struct {
     call_features call;
     bool same;
-  } kCases[] = {
+  } cases[] = {
       {Call("/orders/18/lines", "desk", "a", 3000), true},
       {Call("/orders/0b1c-77/lines?x=1", "desk", "a", 3000), true},
       {Call("/orders/abcdefghijklmnopqrstuvwxyz/lines", "desk", "a", 3000),
@@ -67,7 +67,7 @@
       {{"read", "PUT", "/orders/17/lines", "desk", "a", 3000}, false},
       {{"write", "GET", "/orders/17/lines", "desk", "a", 3000}, false},
   };
-  for (const auto& each : kCases) {
+  for (const auto& each : cases) {
     CAPTURE(each.call.path);
     CHECK((KeyOf(each.call) == key) == each.same);
   }
@@ -100,7 +100,7 @@
 
 // Look-alikes of one route: 40 ms and 400 ms.
 TEST_CASE("each feature tells costs apart") {
-  const cost_kind kKinds[] = {
+  const cost_kind kinds[] = {
       {"path", Call("/short/1"), Call("/long/1")},
       {"method",
        {"read", "GET", "/x", "desk", "a", 0},
@@ -109,7 +109,7 @@
       {"tenant", Call("/x", "desk", "a"), Call("/x", "desk", "b")},
       {"size", Call("/x", "desk", "a", 100), Call("/x", "desk", "a", 90000)},
   };
-  for (const cost_kind& each : kKinds) {
+  for (const cost_kind& each : kinds) {
     CAPTURE(each.name);
     cost_predictor costs;
     cost_source source(5);
@@ -203,8 +203,8 @@
 TEST_CASE("the remaining time is the mean over the runs that took longer") {
   const struct {
     double short_ms, long_ms, sigma;
-  } kCases[] = {{100, 100, 0.3}, {100, 100, 0.8}, {50, 500, 0.3}};
-  for (const auto& each : kCases) {
+  } cases[] = {{100, 100, 0.3}, {100, 100, 0.8}, {50, 500, 0.3}};
+  for (const auto& each : cases) {
     CAPTURE(each.long_ms);
     CAPTURE(each.sigma);
     cost_predictor costs;
@@ -242,7 +242,7 @@
 
 // Answers with wrong, zero or huge times, at any moment of learning.
 TEST_CASE("one run changes a prediction by a bounded factor") {
-  const duration kWrong[] = {
+  const duration wrong[] = {
       duration(-5),          duration(0),     duration(1),
       milliseconds(1),       seconds(60),     std::chrono::minutes(10),
       std::chrono::hours(9), duration::max(), duration::min()};
@@ -256,7 +256,7 @@
       const double before = ToMs(costs.Predict(call, kFallback, now).mean);
       const bool is_wrong = source.Below(4) == 0;
       costs.Observe(call,
-                    is_wrong ? kWrong[source.Below(std::size(kWrong))]
+                    is_wrong ? wrong[source.Below(std::size(wrong))]
                              : source.Draw(100, 0.8),
                     now);
       const cost_estimate after = costs.Predict(call, kFallback, now);
--- a/testing/unit/node_cost_test.cc
+++ b/testing/unit/node_cost_test.cc
@@ -48,6 +48,7 @@
 // Backlog that the daemon reports while three long calls run on 4 slots.
 double BacklogOfLongCalls(node_fleet* fleet) {
   std::vector<std::shared_ptr<caller_exchange>> calls;
+  calls.reserve(3);
   for (int i = 0; i < 3; ++i) {
     calls.push_back(fleet->StartCall(0, "GET", "/read/long/1"));
   }
