--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -712,7 +712,11 @@
                           instant now) const;
   void DisplaceLate(std::vector<place>* plan, int slots, duration running,
                     instant now) const;
+  duration WorkBefore(const work_item& item, int slots, duration running,
+                      instant now) const;
+  const work_item* First(duration running, instant now) const;
   double OnTimeShare(int slots, instant now) const;
+  bool IsBehind(int slots, instant now) const;
   double LateShare(int slots, instant now) const;
   void RecordOnTime(const work_item& item, instant now);
 
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -102,6 +102,24 @@
   return kRules[static_cast<int>(order)];
 }
 
+// Sorts the calls that wait at `now`.
+struct ranking {
+  const order_rules& rules;
+  const sched::service_floor& floor;
+  bool behind;
+  instant now;
+
+  bool IsOwed(const work_item& item) const {
+    return rules.has_floor && !item.nested && floor.IsOwed(item.group);
+  }
+  bool IsLate(const work_item& item) const {
+    return !rules.is_in_time(item, now);
+  }
+  order_key Key(const work_item& item) const {
+    return rules.key(item, IsOwed(item), IsLate(item), behind);
+  }
+};
+
 bool MayWaitLate(const work_item& item, queue_order order) {
   return RulesOf(order).queues_late || item.carried;
 }
@@ -120,16 +138,12 @@
 std::vector<work_queue::place> work_queue::Plan(const work_item* added,
                                                 int slots, duration running,
                                                 instant now) const {
-  const order_rules& rules = RulesOf(order_);
-  const bool behind = OnTimeShare(slots, now) > kBehindShare;
+  const ranking ranks = {RulesOf(order_), floor_, IsBehind(slots, now), now};
   std::vector<std::pair<order_key, place>> keyed;
   keyed.reserve(items_.size() + 1);
   const auto add = [&](const work_item& item) {
-    const bool owed =
-        rules.has_floor && !item.nested && floor_.IsOwed(item.group);
-    const bool late = !rules.is_in_time(item, now);
-    keyed.emplace_back(rules.key(item, owed, late, behind),
-                       place{&item, owed, late});
+    keyed.emplace_back(ranks.Key(item),
+                       place{&item, ranks.IsOwed(item), ranks.IsLate(item)});
   };
   for (const work_item& item : items_) add(item);
   if (added != nullptr) add(*added);
@@ -138,10 +152,41 @@
   std::vector<place> plan;
   plan.reserve(keyed.size());
   for (const auto& [key, at] : keyed) plan.push_back(at);
-  if (rules.keeps_feasible_set) DisplaceLate(&plan, slots, running, now);
+  if (ranks.rules.keeps_feasible_set) DisplaceLate(&plan, slots, running, now);
   return plan;
 }
 
+// Expected time of the calls that would start before `item`. Only the feasible
+// set needs the whole order.
+duration work_queue::WorkBefore(const work_item& item, int slots,
+                                duration running, instant now) const {
+  duration work{0};
+  if (RulesOf(order_).keeps_feasible_set) {
+    for (const place& each : Plan(&item, slots, running, now)) {
+      if (each.item == &item) break;
+      work += each.item->expected;
+    }
+    return work;
+  }
+  const ranking ranks = {RulesOf(order_), floor_, IsBehind(slots, now), now};
+  const order_key key = ranks.Key(item);
+  for (const work_item& other : items_) {
+    if (ranks.Key(other) < key) work += other.expected;
+  }
+  return work;
+}
+
+const work_item* work_queue::First(duration running, instant now) const {
+  if (RulesOf(order_).keeps_feasible_set) {
+    return Plan(nullptr, slots_, running, now).front().item;
+  }
+  const ranking ranks = {RulesOf(order_), floor_, IsBehind(slots_, now), now};
+  return &*std::min_element(items_.begin(), items_.end(),
+                            [&ranks](const work_item& a, const work_item& b) {
+                              return ranks.Key(a) < ranks.Key(b);
+                            });
+}
+
 // Moves calls behind all others, as late, until the rest can end in time
 // (Moore's and Hodgson's rule, extended by ranks). Nested and owed calls stay.
 void work_queue::DisplaceLate(std::vector<place>* plan, int slots,
@@ -182,6 +227,11 @@
   return on_time_work_s_ * decay / (kOnTimeWindowS * slots);
 }
 
+bool work_queue::IsBehind(int slots, instant now) const {
+  return order_ == queue_order::kNewestFirst &&
+         OnTimeShare(slots, now) > kBehindShare;
+}
+
 double work_queue::LateShare(int slots, instant now) const {
   return std::max(kMinLateShare, 1 - OnTimeShare(slots, now));
 }
@@ -212,15 +262,11 @@
     refusal.why = core::reason::kDeadline;
     return tl::unexpected(refusal);
   }
-  duration before = running;
-  bool owed = false;
-  for (const place& each : Plan(&item, slots, running, now)) {
-    owed = each.owed;
-    if (each.item == &item) break;
-    before += each.item->expected;
-  }
-  duration wait = Scale(before, 1.0 / slots);
+  duration wait =
+      Scale(WorkBefore(item, slots, running, now) + running, 1.0 / slots);
   if (RulesOf(order_).is_in_time(item, now + wait)) return admission::kInTime;
+  const bool owed =
+      RulesOf(order_).has_floor && !item.nested && floor_.IsOwed(item.group);
   if (!owed && !MayWaitLate(item, order_)) {
     const bool has_free_slot = running.count() == 0 && items_.empty();
     if (!has_free_slot) return tl::unexpected(refusal);
@@ -264,9 +310,7 @@
   const bool has_floor = RulesOf(order_).has_floor;
   auto next = items_.begin();
   if (has_floor || starts_ % kOldestFirstInterval != 0) {
-    const work_item* const first =
-        Plan(nullptr, slots_, running, now).front().item;
-    next += first - items_.data();
+    next += First(running, now) - items_.data();
   }
   work_item item = *next;
   items_.erase(next);
