Add load patterns of speeds, stalls and cancelled runs; pace half-life 100 ms

Cause: no load pattern had upstreams whose pace changes, or that go on with cancelled runs, so neither the fault nor its mend could be measured.

Change: the load model has stalls, an upstream's own queue, and load reports; load_patterns takes a mode ("pace", "cost"). The pace loses half of its distance from 1 in 100 ms instead of 150 ms.

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -54,8 +54,9 @@
 inline constexpr int kMinPacePercent = 10;
 inline constexpr int kMaxPacePercent = 2000;
 // A pace loses half of its distance from 1 in this time. Stalls of a shared
-// machine last some hundred milliseconds, so an older pace says little.
-inline constexpr duration kPaceHalfLife = std::chrono::milliseconds(150);
+// machine last some hundred milliseconds, so an older pace says little. Of 75,
+// 100, 150 and 300 ms, 100 ms served load pattern "short stalls" best.
+inline constexpr duration kPaceHalfLife = std::chrono::milliseconds(100);
 
 // What a pace is worth after `age`. The decay is exponential, so a daemon that
 // receives a decayed pace goes on where the sender stopped. Negative ages count
@@ -111,6 +112,8 @@
   double Pace(instant now) const;
   // Calls at the upstream that the egress doesn't count as running.
   int HiddenCalls(instant now) const;
+  // Expected time of the work that they have left, if each takes `usual`.
+  duration HiddenWork(duration usual, int slots, instant now) const;
   // Calls that the egress may have at the upstream, of `slots` by the
   // directory.
   int UsableSlots(int slots, instant now) const;
--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -1,5 +1,6 @@
-// load_patterns [SEEDS]: prints a table of every load pattern, the mean over
-// the seeds 1 to SEEDS (default 5).
+// load_patterns [SEEDS [MODE]]: prints a table of every load pattern, the mean
+// over the seeds 1 to SEEDS (default 5). MODE: "pace": upstreams report their
+// load; "cost": with cost routing as well.
 
 #include <cstdio>
 #include <cstdlib>
@@ -15,6 +16,7 @@
   double worst = 0;
   double wait = 0;
   double in_vain = 0;
+  double shed = 0;
   std::map<std::string, class_result> sums;
   for (int seed = 1; seed <= seeds; ++seed) {
     const load_result result =
@@ -24,6 +26,7 @@
     worst += result.worst_window / seeds;
     wait += result.refused_wait_ms / seeds;
     in_vain += result.held_in_vain / seeds;
+    shed += result.shed / seeds;
     for (const auto& [name, each] : result.classes) {
       class_result& sum = sums[name];
       sum.asked += each.asked;
@@ -31,8 +34,8 @@
       sum.late += each.late;
     }
   }
-  std::printf("%-30s %6.3f %6.3f %6.3f %8.0f %8.4f ", pattern.name.c_str(),
-              worth, served, worst, wait, in_vain);
+  std::printf("%-30s %6.3f %6.3f %6.3f %8.0f %8.4f %6.4f ",
+              pattern.name.c_str(), worth, served, worst, wait, in_vain, shed);
   for (const load_class& each : pattern.classes) {
     const class_result& sum = sums[each.name];
     if (each.per_s <= 0) {
@@ -51,9 +54,13 @@
 
 int main(int argc, char** argv) {
   const int seeds = argc > 1 ? std::atoi(argv[1]) : 5;
-  std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
-              "worst", "wait ms", "in vain", "in aim + late, by kind");
-  for (const auto& pattern : pimentohall::testing::AllPatterns()) {
+  const std::string mode = argc > 2 ? argv[2] : "";
+  std::printf("%-30s %6s %6s %6s %8s %8s %6s  %s\n", "pattern", "worth",
+              "served", "worst", "wait ms", "in vain", "shed",
+              "in aim + late, by kind");
+  for (auto& pattern : pimentohall::testing::AllPatterns()) {
+    pattern.cost_routing = mode == "cost";
+    pattern.reports_load = pattern.cost_routing || mode == "pace";
     pimentohall::testing::PrintPattern(pattern, seeds);
   }
   return 0;
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -250,10 +250,7 @@
   const bool has_free_slot =
       static_cast<int>(running_.size()) < UsableSlots(now);
   if (has_free_slot) return duration{0};
-  if (!BoundsSlots()) return RunningWork(now);
-  // Hidden calls are assumed to be like this one, and half done.
-  return RunningWork(now) +
-         ExpectedTime(call.info) * monitor_.HiddenCalls(now) / 2;
+  return RunningWork(now) + HiddenWork(ExpectedTime(call.info), now);
 }
 
 // Refuses a call with a large body before the body is sent, if it can.
@@ -441,6 +438,11 @@
                        : upstream_->slots;
 }
 
+duration egress::HiddenWork(duration usual, instant now) const {
+  return BoundsSlots() ? monitor_.HiddenWork(usual, upstream_->slots, now)
+                       : duration{0};
+}
+
 void egress::OnAbandoned(instant now) {
   if (!BoundsSlots()) return;
   monitor_.OnAbandoned(now);
@@ -456,7 +458,9 @@
 void egress::RefuseOvertaken() {
   if (!upstream_ || queue_.Size() == 0) return;
   const instant now = fleet_.loop.Now();
-  const duration running = RunningWork(now);
+  const duration usual =
+      queue_.Work() / static_cast<duration::rep>(queue_.Size());
+  const duration running = RunningWork(now) + HiddenWork(usual, now);
   const duration free_slot_in =
       (queue_.Work() + running) / std::max(1, upstream_->slots);
   for (const mesh::work_item& item :
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -88,6 +88,8 @@
   void StartCall(const call_ptr& call);
   void RemoveRunning(const call& call);
   bool BoundsSlots() const;
+  // Expected time of work at the upstream that isn't counted as running.
+  duration HiddenWork(duration usual, instant now) const;
   // The upstream may go on with a call that was cancelled or failed.
   void OnAbandoned(instant now);
   // Starts queued calls when slots become usable without an answer.
--- a/src/sched/upstream_monitor.cc
+++ b/src/sched/upstream_monitor.cc
@@ -156,6 +156,14 @@
   return static_cast<int>(std::lround(reported)) + static_cast<int>(abandoned);
 }
 
+duration upstream_monitor::HiddenWork(duration usual, int slots,
+                                      instant now) const {
+  const int hidden = HiddenCalls(now);
+  // Those that run are half done, the others wait inside the upstream.
+  const int running = std::min(hidden, std::max(0, slots));
+  return usual * (hidden - running) + usual * running / 2;
+}
+
 int upstream_monitor::Room(int slots, instant now) const {
   const bool limits = counted_at_ && now - *counted_at_ <= kReportMemory &&
                       slots_ > 0 && slots_ < slots;
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 namespace pimentohall::testing {
 namespace {
@@ -44,6 +46,7 @@
       auto at = std::make_unique<upstream>();
       at->what = &pattern.upstreams[i];
       at->id = "u" + std::to_string(i);
+      DrawStalls(seed * 1000 + i, at.get());
       const double cold = at->what->cold_until_s;
       if (cold > 0) {
         at->gate.SetCold(kStart + Ms(cold * 1000), at->what->cold_per_s,
@@ -53,6 +56,7 @@
     }
     for (int i = 0; i < pattern.daemons; ++i) {
       pickers_.emplace_back(seed * 100 + static_cast<std::uint64_t>(i) + 1);
+      pickers_.back().SetCostRouting(pattern.cost_routing);
     }
   }
 
@@ -112,6 +116,12 @@
     mesh::warmup_gate gate;
     mesh::time_estimator times;
     double slowness = 1;
+    sched::upstream_monitor monitor;
+    std::vector<std::pair<double, double>> stalls;  // Start and end, in ms.
+    // Inside an upstream with a queue of its own: runs by call, and calls that
+    // wait. The egress may have cancelled them.
+    std::set<std::uint64_t> inside_running;
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> inside_waiting;
     instant link_free_at{};
     std::map<std::uint64_t, call_ptr> waiting;
     std::map<std::uint64_t, call_ptr> running;
@@ -193,7 +203,7 @@
     upstream* const at = which->at;
     at->queue.Remove(which->id);
     at->waiting.erase(which->id);
-    if (at->running.erase(which->id) > 0) Pump(at);
+    if (at->running.erase(which->id) > 0) Abandon(at);
   }
 
   void Answered(const call_ptr& which) {
@@ -256,7 +266,10 @@
     load.queued = static_cast<int>(at.queue.Size());
     load.slots = at.what->slots;
     load.backlog_ms = ToMs(at.queue.Work() + RunningWork(at)) / at.what->slots;
-    load.slowness = at.slowness;
+    load.slowness =
+        pattern_.cost_routing ? at.monitor.Speed(now_) : at.slowness;
+    load.pace = at.monitor.Pace(now_);
+    if (pattern_.cost_routing) load.running += at.monitor.HiddenCalls(now_);
     return load;
   }
 
@@ -349,6 +362,10 @@
   // The queue before an upstream.
 
   duration Expected(const upstream& at, const load_class& kind) const {
+    if (pattern_.cost_routing) {
+      return Ms(ToMs(typical_.Expect(kind.name, Ms(100), now_)) *
+                at.monitor.Speed(now_) * at.monitor.Pace(now_));
+    }
     const double typical =
         ToMs(typical_.Expect(kind.name, Ms(100), now_)) * at.slowness;
     return at.times.Expect(kind.name, Ms(typical), now_);
@@ -363,6 +380,15 @@
     return work;
   }
 
+  duration HiddenWork(const upstream& at) const {
+    if (!pattern_.cost_routing) return duration{0};
+    const duration usual =
+        at.queue.Size() > 0
+            ? at.queue.Work() / static_cast<duration::rep>(at.queue.Size())
+            : Ms(100);
+    return at.monitor.HiddenWork(usual, at.what->slots, now_);
+  }
+
   mesh::work_item ItemOf(const call& which, const upstream& at) const {
     mesh::work_item item;
     item.id = which.id;
@@ -374,10 +400,17 @@
     return item;
   }
 
+  bool HasRoom(const upstream& at) const {
+    const int slots = pattern_.cost_routing
+                          ? at.monitor.UsableSlots(at.what->slots, now_)
+                          : at.what->slots;
+    return static_cast<int>(at.running.size()) < slots;
+  }
+
   // 0: a slot is free.
   duration WorkAhead(const upstream& at) const {
-    const bool has_room = static_cast<int>(at.running.size()) < at.what->slots;
-    return has_room ? duration{0} : RunningWork(at);
+    if (HasRoom(at)) return duration{0};
+    return RunningWork(at) + HiddenWork(at);
   }
 
   void Enqueue(const call_ptr& which, upstream* at) {
@@ -412,8 +445,7 @@
   }
 
   void Pump(upstream* at) {
-    while (at->queue.Size() > 0 &&
-           static_cast<int>(at->running.size()) < at->what->slots) {
+    while (at->queue.Size() > 0 && HasRoom(*at)) {
       if (!at->gate.Take(now_)) break;
       const auto next = at->queue.Pop(now_);
       const call_ptr which = at->waiting.at(next->id);
@@ -437,8 +469,13 @@
   // What an egress does in each of its ticks.
   void Tick() {
     for (const auto& each : upstreams_) {
-      Drop(each.get(), each->queue.DropOvertaken(each->what->slots,
-                                                 RunningWork(*each), now_));
+      if (pattern_.cost_routing && each->queue.Size() > 0) {
+        if (!HasRoom(*each)) ReportLoad(each.get());
+        Pump(each.get());
+      }
+      const duration running = RunningWork(*each) + HiddenWork(*each);
+      Drop(each.get(),
+           each->queue.DropOvertaken(each->what->slots, running, now_));
     }
     At(kTickMs, [this] { Tick(); });
   }
@@ -446,9 +483,7 @@
   void ScheduleWake(upstream* at) {
     instant wake = instant::max();
     if (const auto expiry = at->queue.NextExpiry()) wake = *expiry;
-    const bool has_room =
-        static_cast<int>(at->running.size()) < at->what->slots;
-    if (at->queue.Size() > 0 && has_room) {
+    if (at->queue.Size() > 0 && HasRoom(*at)) {
       wake = std::min(wake, at->gate.NextAt(now_));
     }
     if (wake == instant::max() || wake == at->wake) return;
@@ -459,7 +494,93 @@
     });
   }
 
+  // -------------------------------------------------------------------------
+  // The upstream.
+
+  // From a generator of their own, so that they change nothing else.
+  void DrawStalls(std::uint64_t seed, upstream* at) const {
+    if (at->what->stall_gap_ms <= 0) return;
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(1 / at->what->stall_gap_ms);
+    double end = 0;
+    while (end < pattern_.length_s * 1000) {
+      const double start = end + gap(random);
+      end = start + at->what->stall_ms;
+      at->stalls.emplace_back(start, end);
+    }
+  }
+
+  double PaceOf(const upstream& at) const {
+    const double now_ms = AtS() * 1000;
+    for (const auto& [start, end] : at.stalls) {
+      if (start <= now_ms && now_ms < end) return at.what->stall_factor;
+    }
+    return 1;
+  }
+
+  // Time that work takes if it starts now.
+  double TimeOfWork(double work_ms, const upstream& at) const {
+    double now_ms = AtS() * 1000;
+    const double begin_ms = now_ms;
+    for (const auto& [start, end] : at.stalls) {
+      if (end <= now_ms) continue;
+      const double before = std::max(0.0, start - now_ms);
+      if (work_ms <= before) break;
+      work_ms -= before;
+      now_ms += before;
+      const double in_stall = (end - now_ms) / at.what->stall_factor;
+      if (work_ms <= in_stall) {
+        return now_ms + work_ms * at.what->stall_factor - begin_ms;
+      }
+      work_ms -= in_stall;
+      now_ms = end;
+    }
+    return now_ms + work_ms - begin_ms;
+  }
+
+  // Of an answer or a health check.
+  void ReportLoad(upstream* at) {
+    if (!pattern_.reports_load) return;
+    constexpr double kPercent = 100;
+    const bool has_queue = at->what->own_queue > 0;
+    sched::upstream_report report;
+    report.running = static_cast<int>(has_queue ? at->inside_running.size()
+                                                : at->running.size());
+    report.waiting = static_cast<int>(at->inside_waiting.size());
+    report.slots = at->what->slots;
+    report.pace_percent = static_cast<int>(PaceOf(*at) * kPercent);
+    at->monitor.OnReport(report, static_cast<int>(at->running.size()), now_);
+  }
+
+  // The egress cancelled a running call and asks for the upstream's load.
+  void Abandon(upstream* at) {
+    if (pattern_.cost_routing) {
+      at->monitor.OnAbandoned(now_);
+      At(kLinkMs, [this, at] {
+        ReportLoad(at);
+        Pump(at);
+      });
+    }
+    Pump(at);
+  }
+
+  void StartInside(upstream* at) {
+    while (static_cast<int>(at->inside_running.size()) < at->what->slots &&
+           !at->inside_waiting.empty()) {
+      const auto next = std::move(at->inside_waiting.front());
+      at->inside_waiting.pop_front();
+      at->inside_running.insert(next.first);
+      next.second();
+    }
+  }
+
+  void EndInside(upstream* at, std::uint64_t id) {
+    if (at->inside_running.erase(id) > 0) StartInside(at);
+  }
+
   void StartCall(const call_ptr& which, upstream* at) {
+    ++started_;
+    at->monitor.OnStarted(at->what->slots, now_);
     which->started = now_;
     at->running[which->id] = which;
     const load_class& kind = *which->kind;
@@ -471,18 +592,38 @@
     const bool nests = !kind.nested.empty() && Uniform() < kind.nested_share;
     const int times = nests ? kind.nested_times : 0;
     const std::uint64_t id = which->id;
-    At(work, [this, which, at, times, id] { Nest(which, at, times, id); });
+    const auto run = [this, which, at, times, id, work] {
+      At(TimeOfWork(work, *at),
+         [this, which, at, times, id] { Nest(which, at, times, id); });
+    };
+    if (at->what->own_queue <= 0) {
+      run();
+    } else if (static_cast<int>(at->inside_running.size()) >= at->what->slots &&
+               static_cast<int>(at->inside_waiting.size()) >=
+                   at->what->own_queue) {
+      ++shed_;
+      ReportLoad(at);
+      at->running.erase(id);
+      Refused(which, at, Ms(300));
+      return;
+    } else {
+      at->inside_waiting.emplace_back(id, run);
+      StartInside(at);
+    }
     At(ToMs(which->deadline - now_), [this, which, at, id] {
       if (which->id != id || at->running.count(id) == 0) return;
       at->running.erase(id);
       Unanswered(which, false);
-      Pump(at);
+      Abandon(at);
     });
   }
 
   // Makes the call's own calls one after the other, then ends it.
   void Nest(const call_ptr& which, upstream* at, int times, std::uint64_t id) {
-    if (at->running.count(id) == 0) return;
+    if (at->running.count(id) == 0) {
+      EndInside(at, id);
+      return;
+    }
     if (times == 0) {
       EndCall(which, at, Uniform() >= at->what->fails);
       return;
@@ -503,12 +644,16 @@
         Nest(which, at, times - 1, id);
       } else if (at->running.count(id) > 0) {
         EndCall(which, at, false);
+      } else {
+        EndInside(at, id);
       }
     };
     Attempt(nested);
   }
 
   void EndCall(const call_ptr& which, upstream* at, bool answered) {
+    EndInside(at, which->id);
+    ReportLoad(at);
     at->running.erase(which->id);
     const duration took = now_ - which->started;
     auto& picker = pickers_[static_cast<std::size_t>(which->daemon)];
@@ -517,6 +662,7 @@
       const double typical = std::max(
           1.0, ToMs(typical_.Expect(which->kind->name, Ms(100), now_)));
       at->times.Observe(which->kind->name, took, now_);
+      at->monitor.OnRun(took, Ms(typical), now_);
       typical_.Observe(which->kind->name, took, now_);
       constexpr double kSlownessWeight = 0.08;
       at->slowness += kSlownessWeight * (ToMs(took) / typical - at->slowness);
@@ -564,6 +710,7 @@
         refused_count_ > 0 ? refused_wait_ms_ / refused_count_ : 0;
     result_.held_in_vain =
         enqueued_ > 0 ? static_cast<double>(in_vain_) / enqueued_ : 0;
+    result_.shed = started_ > 0 ? static_cast<double>(shed_) / started_ : 0;
     result_.far_bytes = wanted_bytes_ > 0 ? far_bytes_ / wanted_bytes_ : 0;
     return result_;
   }
@@ -582,6 +729,8 @@
   double refused_wait_ms_ = 0;
   int enqueued_ = 0;  // Attempts that came to a queue.
   int in_vain_ = 0;
+  int started_ = 0;  // Calls sent to an upstream,
+  int shed_ = 0;     // and those of them that it shed.
   int refused_count_ = 0;
   double wanted_bytes_ = 0;
   double far_bytes_ = 0;
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -52,6 +52,15 @@
   // limited.
   double link_bytes_per_ms = 0;
   int zone = -1;  // -1: by its position.
+  // Its machine is busy now and then: work takes `stall_factor` times as long
+  // for `stall_ms`, with this mean time between the stalls. 0: never.
+  double stall_gap_ms = 0;
+  double stall_ms = 300;
+  double stall_factor = 2.5;
+  // Calls that it queues itself. Above that it sheds calls, and it runs
+  // cancelled ones to their end. 0: it is never sent more than its slots, and
+  // the work of cancelled calls ends.
+  int own_queue = 0;
 };
 
 struct load_pattern {
@@ -66,10 +75,12 @@
   // Share of the calls that arrive in zone 0; the rest is spread evenly. 0:
   // all are spread evenly.
   double first_zone_share = 0;
-  double near_news_s = 0.3;  // Period of news within a zone,
-  double far_news_s = 0.6;   // and between zones.
-  double leave_share = 0;    // Callers that leave at half their aim.
-  double ignore_share = 0;   // Callers that come back at once, and more often.
+  double near_news_s = 0.3;   // Period of news within a zone,
+  double far_news_s = 0.6;    // and between zones.
+  double leave_share = 0;     // Callers that leave at half their aim.
+  double ignore_share = 0;    // Callers that come back at once, and more often.
+  bool reports_load = false;  // Upstreams report calls, slots and pace.
+  bool cost_routing = false;
   double length_s = 30;
 };
 
@@ -93,6 +104,7 @@
   double held_in_vain = 0;
   // Bytes that crossed zones, as a share of those that all calls had to carry.
   double far_bytes = 0;
+  double shed = 0;  // Share of the started calls that an upstream shed.
   std::map<std::string, class_result> classes;
   // Earned / owed by second of the first attempt.
   std::vector<double> worth_by_s;
@@ -118,6 +130,9 @@
 // The service that others call is short from 6 s until then.
 inline constexpr double kShortCalleeUntilS = 20;
 load_pattern ShortCalleePattern();
+load_pattern UnequalSpeedsPattern();
+load_pattern ShortStallsPattern();
+load_pattern CancelledRunsPattern();
 std::vector<load_pattern> AllPatterns();
 
 }  // namespace pimentohall::testing
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -8,17 +8,18 @@
 namespace pimentohall::testing {
 namespace {
 
-load_result Mean(const load_pattern& pattern) {
-  constexpr int kSeeds = 3;
+load_result Mean(const load_pattern& pattern, int seeds = 3) {
+  const auto count = static_cast<std::uint64_t>(seeds);
   load_result mean;
   mean.worst_window = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= count; ++seed) {
     const load_result run = RunLoad(pattern, seed);
-    mean.worth += run.worth / kSeeds;
-    mean.served += run.served / kSeeds;
-    mean.worst_window += run.worst_window / kSeeds;
-    mean.held_in_vain += run.held_in_vain / kSeeds;
-    mean.far_bytes += run.far_bytes / kSeeds;
+    mean.worth += run.worth / seeds;
+    mean.served += run.served / seeds;
+    mean.worst_window += run.worst_window / seeds;
+    mean.held_in_vain += run.held_in_vain / seeds;
+    mean.far_bytes += run.far_bytes / seeds;
+    mean.shed += run.shed / seeds;
     for (const auto& [name, counts] : run.classes) {
       class_result& sum = mean.classes[name];
       sum.asked += counts.asked;
@@ -149,6 +150,40 @@
   }
 }
 
+constexpr int kComparedSeeds = 8;
+
+load_result MeanWithCostRouting(load_pattern pattern) {
+  pattern.reports_load = true;
+  pattern.cost_routing = true;
+  return Mean(pattern, kComparedSeeds);
+}
+
+// An upstream of speed 1.6 must not get as many calls as those of 0.7.
+TEST_CASE("pattern: speeds 0.7, 0.7, 1.6") {
+  const load_result before = Mean(UnequalSpeedsPattern(), kComparedSeeds);
+  const load_result after = MeanWithCostRouting(UnequalSpeedsPattern());
+  CHECK(after.worth >= 0.97);
+  CHECK(after.worth >= before.worth - 0.005);
+}
+
+// Calls were sent to upstreams whose machine was busy at the moment.
+TEST_CASE("pattern: short stalls") {
+  const load_result before = Mean(ShortStallsPattern(), kComparedSeeds);
+  const load_result after = MeanWithCostRouting(ShortStallsPattern());
+  CHECK(after.worth >= 0.95);
+  CHECK(after.worth >= before.worth + 0.005);
+  CHECK(after.served >= 0.995);
+}
+
+// An upstream was sent calls in place of cancelled ones that it still ran.
+TEST_CASE("pattern: cancelled runs go on") {
+  const load_result before = Mean(CancelledRunsPattern(), kComparedSeeds);
+  const load_result after = MeanWithCostRouting(CancelledRunsPattern());
+  CHECK(before.shed > 0.05);
+  CHECK(after.shed <= 0.001);
+  CHECK(after.worth >= before.worth + 0.03);
+}
+
 TEST_CASE("a pattern is deterministic for a seed") {
   const load_result first = RunLoad(BurstPattern(3), 7);
   const load_result second = RunLoad(BurstPattern(3), 7);
