Doubt wrong load counts more readily, and learn no speed from trials

Cause: with counts that are always high, half of the trial calls took longer than their mean, and each of these ended the doubt in the counts. A trial that waited inside the upstream also counted as a slow run.

Change: a trial may take 1.5 times its expected time; a longer one halves the doubt instead of ending it. Trials don't count for the speed.

--- a/src/sched/upstream_monitor.cc
+++ b/src/sched/upstream_monitor.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxAbandoned = 64;
 constexpr double kPercent = 100;
 
+// A trial that takes more than this multiple of its expected time has waited.
+constexpr double kTrialMargin = 1.5;
+
 double Seconds(duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -75,8 +78,9 @@
 void upstream_monitor::EndTrial(duration took, duration expected, instant now) {
   if (now - took != trial_at_) return;
   trial_at_.reset();
-  if (took > expected) {
-    doubt_ = duration{0};
+  // Work varies, so one long trial doesn't prove the counts.
+  if (took > kTrialMargin * expected) {
+    doubt_ /= 2;
     return;
   }
   doubt_ = std::clamp(2 * doubt_, duration(kMinDoubt), duration(kMaxDoubt));
@@ -123,10 +127,14 @@
                              instant now) {
   if (took.count() <= 0 || expected_work.count() <= 0) return;
   const double speed = Speed(now);
+  const bool is_trial = now - took == trial_at_;
   EndTrial(took,
            std::chrono::duration_cast<duration>(expected_work * speed *
                                                 std::max(1.0, Pace(now))),
            now);
+  // A trial may have waited inside the upstream, which isn't speed. Learned as
+  // speed, it would make the next trials look short.
+  if (is_trial) return;
   const double work_s = DoneS(now) - DoneS(now - took);
   const double ratio = std::clamp(work_s / Seconds(expected_work),
                                   speed / kMaxRunRatio, speed * kMaxRunRatio);
