--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -290,9 +290,7 @@
 duration egress::WorkAhead(const call& call, instant now) const {
   if (HasSlot(call.info.nested, now)) return duration{0};
   if (!BoundsSlots()) return RunningWork(now);
-  // Hidden calls are assumed to be like this one, and half done.
-  return RunningWork(now) +
-         ExpectedTime(call).mean * monitor_.HiddenCalls(now) / 2;
+  return RunningWork(now) + HiddenWork(ExpectedTime(call).mean, now);
 }
 
 int egress::ReservedSlots(instant now) const {
@@ -551,6 +549,11 @@
                        : upstream_->slots;
 }
 
+duration egress::HiddenWork(duration usual, instant now) const {
+  return BoundsSlots() ? monitor_.HiddenWork(usual, upstream_->slots, now)
+                       : duration{0};
+}
+
 void egress::OnAbandoned(instant now) {
   if (!BoundsSlots()) return;
   monitor_.OnAbandoned(now);
@@ -566,7 +569,9 @@
 void egress::RefuseOvertaken() {
   if (!upstream_ || queue_.Size() == 0) return;
   const instant now = fleet_.loop.Now();
-  const duration running = RunningWork(now);
+  const duration usual =
+      queue_.Work() / static_cast<duration::rep>(queue_.Size());
+  const duration running = RunningWork(now) + HiddenWork(usual, now);
   const duration free_slot_in =
       (queue_.Work() + running) / std::max(1, upstream_->slots);
   for (const mesh::work_item& item :
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -104,6 +104,8 @@
   // False while the upstream sheds calls.
   bool MayStart(instant now) const;
   void OnShed(const call& call, instant now);
+  // Expected time of work at the upstream that isn't counted as running.
+  duration HiddenWork(duration usual, instant now) const;
   // The upstream may go on with a call that was cancelled or failed.
   void OnAbandoned(instant now);
   // Starts queued calls when slots become usable without an answer.
