--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -21,7 +21,7 @@
 // The same for nested calls, whose refusal fails their run. Under a lasting
 // overload, trying every upstream of a service doubled the bytes between zones
 // and kept the runs' slots.
-constexpr int kMaxNestedRefusals = 8;
+constexpr int kMaxNestedRefusals = 4;
 // Waits of a nested call for upstreams in backoff, each as long as the backoff
 // after a refusal: more would keep its run's slot for nothing.
 constexpr int kMaxWaits = 4;
