Tell nested calls from callers' calls where no keys are used

Cause: a call without a key from the VM's own address counted as nested. On deployments without tenants nobody sends a key, so every caller's call did: it went ahead of others, was in time up to its deadline, wasn't refused by admission control and was retried as a nested one. Change: sched::nested_routes. A nested call ends with its run, so a call that may take longer than every open run isn't nested; later attempts of callers have less time left, so a route is judged by the share of such calls. With tenants the rule is as before.

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -494,6 +494,36 @@
 // Nested calls: those that a running call makes to other services. The run
 // holds its slot meanwhile, and its work is lost if a nested call fails.
 
+// Tells nested calls from callers' calls where neither keys nor addresses do:
+// callers and the upstream are on the same VM, and without tenants nobody sends
+// a key. A nested call ends with its run, so a call that may take longer than
+// every open run isn't nested. Later attempts of callers have less time left,
+// so the calls of a route are judged together.
+class nested_routes {
+ public:
+  // A route is the callers' if at least this share of its calls may take longer
+  // than the open runs. Runs that go on after they were cancelled make a few
+  // nested calls look so.
+  static constexpr double kCallersShare = 0.25;
+  static constexpr double kWindowCalls = 50;  // Calls that the share covers.
+  static constexpr std::size_t kMaxRoutes = 4096;  // Others: callers'.
+  // Allowed for the rounding of budgets to whole milliseconds.
+  static constexpr duration kMargin = std::chrono::milliseconds(5);
+
+  // Records a call and returns whether it is nested. `budget`: what it states;
+  // none: the caller waits without limit. `longest_run`: time left to the open
+  // run with the latest deadline; none: no run is open.
+  bool OnCall(const std::string& route, std::optional<duration> budget,
+              std::optional<duration> longest_run);
+
+ private:
+  struct counts {
+    double calls = 0;  // Both decay by `kWindowCalls`.
+    double longer = 0;
+  };
+  std::unordered_map<std::string, counts> routes_;
+};
+
 // What the runs of a route need of one other service.
 struct callee_need {
   std::string service;
--- a/src/mesh/work_queue.cc
+++ b/src/mesh/work_queue.cc
@@ -63,8 +63,8 @@
 
 order_key ByRank(const work_item& item, bool owed, bool late, bool) {
   const instant end = late || item.nested ? item.deadline : item.aim_at;
-  return {late && !owed, !item.nested, !owed,
-          item.rank,     end,          static_cast<std::int64_t>(item.id)};
+  return {late,      !item.nested, !owed,
+          item.rank, end,          static_cast<std::int64_t>(item.id)};
 }
 
 order_key ByAim(const work_item& item, bool owed, bool late, bool behind) {
@@ -265,12 +265,10 @@
   duration wait =
       Scale(WorkBefore(item, slots, running, now) + running, 1.0 / slots);
   if (RulesOf(order_).is_in_time(item, now + wait)) return admission::kInTime;
-  const bool owed =
-      RulesOf(order_).has_floor && !item.nested && floor_.IsOwed(item.group);
-  if (!owed && !MayWaitLate(item, order_)) {
+  if (!MayWaitLate(item, order_)) {
     const bool has_free_slot = running.count() == 0 && items_.empty();
     if (!has_free_slot) return tl::unexpected(refusal);
-  } else if (!owed) {
+  } else {
     wait = Scale(full_wait, 1 / LateShare(slots, now));
   }
   if (now + wait + item.expected > item.deadline) {
@@ -362,10 +360,9 @@
     const work_item& item = *at.item;
     const duration wait = Scale(work, 1.0 / slots);
     if (RulesOf(order_).is_in_time(item, now + wait)) return false;
-    if (!at.owed && !MayWaitLate(item, order_)) return true;
+    if (!MayWaitLate(item, order_)) return true;
     const duration min_time = Scale(item.expected, kMinTimeShare);
-    const double share = at.owed ? 1 : late_share;
-    return now + Scale(wait, kOvertakenShare / share) + min_time >
+    return now + Scale(wait, kOvertakenShare / late_share) + min_time >
            item.deadline;
   };
   std::vector<work_item> overtaken;
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -515,6 +515,7 @@
   monitor_.OnStarted(upstream_->slots, now);
   running_[call->id] = call;
   breaker_.OnStarted(now);
+  fleet_.run_deadlines[call->id] = call->deadline;
   fleet_.repeats.OnRunStarted(call->id, call->info.repeat);
   if (fleet_.UsesOverloadControl()) {
     fleet_.call_tree.OnRunStarted(call->id, call->info.route, now);
@@ -531,6 +532,7 @@
 
 void egress::RemoveRunning(const call& call) {
   running_.erase(call.id);
+  fleet_.run_deadlines.erase(call.id);
   fleet_.repeats.OnRunEnded(call.id);
   if (call.answer_info.not_run) {
     fleet_.call_tree.OnRunRefused(call.id, fleet_.loop.Now());
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -74,6 +74,17 @@
   sched::admission_gate gate;
   sched::return_pacer pacer;
   sched::budget_history budgets;
+  // Deadlines of the runs of this VM's upstream.
+  std::unordered_map<std::uint64_t, instant> run_deadlines;
+  sched::nested_routes nested_routes;
+  // Time left to the run with the latest deadline; none: no run is open.
+  std::optional<duration> LongestRun(instant now) const {
+    std::optional<duration> longest;
+    for (const auto& [run, deadline] : run_deadlines) {
+      longest = std::max(longest.value_or(duration{0}), deadline - now);
+    }
+    return longest;
+  }
   // The repeats among the runs of this VM's upstream.
   mesh::repeat_ascriber repeats;
   // The calls that the runs of this VM's upstream make.
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -89,8 +89,6 @@
   new_call->head = std::move(head);
   new_call->head_bytes = stream::MemoryOf(new_call->head);
   inbound->SetHeldBytes(new_call->head_bytes);
-  new_call->nested = request.key.empty() &&
-                     inbound->PeerAddress() == fleet_.settings.callers.address;
   calls_[inbound.get()] = new_call;
   inbound->on_data = [this, new_call](std::string_view bytes) {
     OnBody(new_call, bytes);
@@ -108,6 +106,18 @@
       sigc::slot<void()>([this, new_call] { OnDeadline(new_call); }));
 }
 
+// Whether the upstream on this VM made the call. Callers send keys if the
+// configuration has tenants.
+bool ingress::IsNested(const call& call, bool has_no_key) {
+  if (!has_no_key ||
+      call.inbound->PeerAddress() != fleet_.settings.callers.address) {
+    return false;
+  }
+  if (call.config->HasTenants()) return true;
+  return fleet_.nested_routes.OnCall(call.route->name, call.budget,
+                                     fleet_.LongestRun(call.received));
+}
+
 bool ingress::Authorise(const call_ptr& call, const std::string& key) {
   call->config = fleet_.config;
   if (!call->config) {
@@ -124,6 +134,7 @@
   if (!key.empty()) {
     call->tenant = config.FindTenantByKeyDigest(config::Sha256Hex(key));
   }
+  call->nested = IsNested(*call, key.empty());
   if (!call->route->open && config.HasTenants() && call->tenant == nullptr) {
     Refuse(call, 401, core::reason::kNoKey, {});
     return false;
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -47,6 +47,7 @@
 
   void OnRequest(const std::shared_ptr<stream::server_exchange>& inbound,
                  stream::message_head head);
+  bool IsNested(const call& call, bool has_no_key);
   // Fills in route and tenant; false if the call was refused.
   bool Authorise(const call_ptr& call, const std::string& key);
   void OnBody(const call_ptr& call, std::string_view bytes);
