Let nested calls try every upstream again

Change: the limit is for callers' calls only, as before. Before/after: nested_calls_test and node_test 34 of 35, then 35 of 35 passed.

--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -18,10 +18,6 @@
 // Refusals by daemons after which a call is given up, as each costs a round
 // trip.
 constexpr int kMaxRefusals = 4;
-// The same for nested calls, whose refusal fails their run. Under a lasting
-// overload, trying every upstream of a service doubled the bytes between zones
-// and kept the runs' slots.
-constexpr int kMaxNestedRefusals = 4;
 // Waits of a nested call for upstreams in backoff, each as long as the backoff
 // after a refusal: more would keep its run's slot for nothing.
 constexpr int kMaxWaits = 4;
@@ -385,8 +381,8 @@
   const auto best =
       fleet_.picker.Pick(candidates, call->tried_upstreams, profile, now);
   if (!best && WaitForUntried(call, candidates)) return;
-  const bool may_go_on =
-      call->refusals < (IsSpared(*call) ? kMaxNestedRefusals : kMaxRefusals);
+  // The refusal of a nested call would fail its run.
+  const bool may_go_on = call->refusals < kMaxRefusals || IsSpared(*call);
   if (!best || !may_go_on) {
     RefuseUnavailable(call, call->last_refusal != core::reason::kNone
                                 ? call->last_refusal
