--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -413,6 +413,7 @@
   if (fleet_.gate.Size() == 0) return true;
   fleet_.gate.Expire(now);
   std::vector<std::string> ids;
+  ids.reserve(candidates.size());
   for (const auto& each : candidates) ids.push_back(each.id);
   const std::uint64_t key = call.spent.count() > 0 ? 1 : ++gate_key_;
   return fleet_.gate.Admits(call.service, ids, RankOf(call), key, now);
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -425,6 +425,7 @@
       const call& which,
       const std::vector<mesh::target_picker::candidate>& candidates) {
     std::vector<std::string> ids;
+    ids.reserve(candidates.size());
     for (const auto& each : candidates) ids.push_back(each.id);
     return gates_[static_cast<std::size_t>(which.daemon)].Admits(
         which.kind->service, ids, which.kind->rank,
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -731,6 +731,7 @@
   picker.OnRefused("refused", milliseconds(50), kStart);
   const auto least = [&picker](const std::vector<std::string>& ids) {
     std::vector<target_picker::candidate> candidates;
+    candidates.reserve(ids.size());
     for (const std::string& id : ids) candidates.push_back({id, 4});
     return picker.LeastWait(candidates, duration{0}, kStart);
   };
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -576,8 +576,10 @@
     fleet.upstreams[0]->script =
         [](const std::shared_ptr<stream::server_exchange>&,
            const std::string&) {};
+    constexpr std::size_t kCalls = 20;
     std::vector<std::shared_ptr<caller_exchange>> calls;
-    for (int i = 0; i < 20; ++i) {
+    calls.reserve(kCalls);
+    while (calls.size() < kCalls) {
       calls.push_back(fleet.StartCall(0, "POST", "/write/1", "x"));
     }
     fleet.RunFor(milliseconds(100));
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -235,7 +235,9 @@
       {"3,1,9,99999999999999999999", {3, 1, 9, {}}},
       {"3,1,9,250,7", {3, 1, 9, 250}},
       {"", {}}};
-  for (const auto& [text, load] : loads) {
+  for (const auto& each : loads) {
+    const char* const text = each.first;
+    const sched::upstream_report& load = each.second;
     CAPTURE(text);
     shed.headers = {{"X-Instance-Load", text}};
     CHECK(dialect->ReadAnswer(shed).load == load);
