Don't take callers with small budgets for returning ones (hostile crowd)

Change: a budget below a quarter of the route's largest tells nothing about earlier attempts. A caller that returns seldom has less left, and with less its aim can't be met anyway.

Evidence: the new case of overload_test failed before (10 checks).

Still short: a crowd whose budgets are up to four times as large as the others' still makes these late.

--- a/include/pimentohall/sched.h
+++ b/include/pimentohall/sched.h
@@ -439,8 +439,8 @@
   static constexpr double kMaxLaterShare = 0.75;
 
   // Records the budget of a call; returns the time since the caller's first
-  // attempt. 0: unknown, also for a negative budget and for routes beyond
-  // `kMaxRoutes`.
+  // attempt. 0: unknown, also for a negative budget, for one below a quarter of
+  // the route's largest, and for routes beyond `kMaxRoutes`.
   duration Spent(const std::string& route, duration budget, instant now);
 
  private:
--- a/testing/unit/overload_test.cc
+++ b/testing/unit/overload_test.cc
@@ -206,5 +206,17 @@
   CHECK(last == duration{0});
 }
 
+// A crowd that states huge budgets must not make all other calls late: these
+// would be refused for as long as the crowd is there.
+TEST_CASE("calls beside a crowd with huge budgets have no aim moved") {
+  budget_history budgets;
+  for (int i = 0; i < 1000; ++i) {
+    (void)budgets.Spent("r", seconds(60), kStart);
+    if (i % 100 != 0) continue;
+    CHECK(budgets.Spent("r", seconds(5), kStart) == duration{0});
+  }
+  CHECK(budgets.Spent("r", seconds(40), kStart) == seconds(20));
+}
+
 }  // namespace
 }  // namespace pimentohall::sched
