Open no more links to a daemon than it accepts from one address

Cause: a daemon may open a quarter of its descriptors as links, up to 300 to one peer; a peer accepts 0.19 of its descriptors from one address and closes what exceeds that, also with a call on its way.

Change: links for calls to one peer are at most 0.6 of what a daemon of this size accepts from one address, those for questions about attempts 0.2. With 4,096 descriptors the limit stays at 300. Beyond it a call is refused as not run.

Evidence: the new test of node_test failed before (calls answered 502) and passes now.

--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -76,6 +76,12 @@
                                       const node_settings& settings);
 // Connections that a daemon may open to other daemons.
 std::size_t MaxLinks(const node_settings& settings);
+// Of these, connections for calls to one daemon; and further ones that ask it
+// for the outcome of attempts. Together they stay below what a daemon accepts
+// from one address: it closes what exceeds that, and with it calls that were
+// sent.
+int MaxLinksPerPeer(const node_settings& settings);
+int MaxQueryLinksPerPeer(const node_settings& settings);
 
 // ---------------------------------------------------------------------------
 // The adapter.
--- a/src/node/client_limits.cc
+++ b/src/node/client_limits.cc
@@ -27,8 +27,22 @@
 };
 constexpr double kLinkShare = 0.25;
 constexpr std::size_t kMinConnections = 8;
+// Of what a daemon accepts from one address. The rest is for the exchange of
+// the source's items and for links that the peer hasn't seen closed yet.
+constexpr double kCallShareOfPeer = 0.6;
+constexpr double kQueryShareOfPeer = 0.2;
+constexpr int kMaxLinksPerPeer = 300;
+constexpr int kMaxQueryLinksPerPeer = 100;
 constexpr double kBytesPerMb = 1024 * 1024;
 
+int LinksPerPeer(const node_settings& settings, double share, int most) {
+  const stream::client_limits accepted =
+      ClientLimitsFor(listener_kind::kPeers, settings);
+  const auto links = static_cast<int>(
+      static_cast<double>(accepted.connections_per_address) * share);
+  return std::clamp(links, 1, most);
+}
+
 }  // namespace
 
 stream::client_limits ClientLimitsFor(listener_kind kind,
@@ -56,4 +70,12 @@
       static_cast<double>(settings.max_descriptors) * kLinkShare);
 }
 
+int MaxLinksPerPeer(const node_settings& settings) {
+  return LinksPerPeer(settings, kCallShareOfPeer, kMaxLinksPerPeer);
+}
+
+int MaxQueryLinksPerPeer(const node_settings& settings) {
+  return LinksPerPeer(settings, kQueryShareOfPeer, kMaxQueryLinksPerPeer);
+}
+
 }  // namespace pimentohall::node
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -26,7 +26,6 @@
 constexpr duration kLinkSilenceTimeout = milliseconds(600);
 constexpr duration kLinkConnectTimeout = milliseconds(400);
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(20);
-constexpr int kMaxLinksPerPeer = 300;
 // Until the first configuration is in force.
 constexpr duration kIdleTimeoutAtStart = std::chrono::seconds(60);
 constexpr duration kHeadTimeoutAtStart = std::chrono::seconds(10);
@@ -45,8 +44,9 @@
                ClientLimitsFor(listener_kind::kCallers, fleet.settings)}),
       pool_(fleet.loop, fleet.timers,
             {kLinkIdleTimeout, kLinkSilenceTimeout, kLinkConnectTimeout,
-             kMaxLinksPerPeer, MaxLinks(fleet.settings)}),
-      attempt_queries_(fleet.loop, fleet.timers) {
+             MaxLinksPerPeer(fleet.settings), MaxLinks(fleet.settings)}),
+      attempt_queries_(fleet.loop, fleet.timers,
+                       MaxQueryLinksPerPeer(fleet.settings)) {
   server_.on_request =
       [this](const std::shared_ptr<stream::server_exchange>& inbound,
              stream::message_head head) {
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -208,6 +208,7 @@
     settings.retries = {0.2, 100, std::chrono::seconds(10)};
     settings.overload_control = overload_control;
     settings.cost_routing = cost_routing;
+    settings.max_descriptors = max_descriptors;
     return settings;
   }
 
@@ -311,6 +312,7 @@
   // Of daemons that start later.
   sched::feature_mode overload_control = sched::feature_mode::kAuto;
   sched::feature_mode cost_routing = sched::feature_mode::kAuto;
+  std::size_t max_descriptors = 4096;
   std::vector<std::unique_ptr<upstream_standin>> upstreams;
   std::map<int, std::unique_ptr<node>> nodes;
   stream::client_pool callers{net.loop,
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -698,6 +698,34 @@
   }
 }
 
+// A daemon closes connections beyond its limit for one address. If its peers
+// opened more, calls that they had sent would be lost.
+TEST_CASE("with few descriptors, calls are refused and not lost") {
+  node_fleet fleet(1);
+  fleet.max_descriptors = 64;
+  fleet.Start();
+  fleet.upstreams[0]->script =
+      [&fleet](const std::shared_ptr<stream::server_exchange>& call,
+               const std::string& id) {
+        fleet.net.timers.After(
+            milliseconds(100), sigc::slot<void()>([&fleet, call, id] {
+              fleet.upstreams[0]->Answer(call, id, 200, "hello");
+            }));
+      };
+  std::vector<std::shared_ptr<caller_exchange>> calls;
+  for (int i = 0; i < 15; ++i) {
+    calls.push_back(fleet.StartCall(0, "POST", "/write/1", "x"));
+  }
+  int answered = 0;
+  for (const auto& call : calls) {
+    CHECK(fleet.net.RunUntil([&call] { return call->ended; }));
+    CHECK((call->status == 200 || call->status == 503));
+    answered += call->status == 200 ? 1 : 0;
+  }
+  CHECK(answered > 0);
+  CHECK(fleet.Runs() == answered);
+}
+
 // The ingress of a call may lose power: its link stays open and silent.
 TEST_CASE("a call that nobody waits for leaves its slot after its deadline") {
   node_fleet fleet(1);
