Return the queued calls of an evacuated zone (EVAC)

Cause: ZonesOut was checked on arrival only; StartQueuedCalls cleared the queue for a draining or unlisted upstream, not for an evacuated zone.

Change: arrival and start share one condition.

--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -216,14 +216,18 @@
   }
 }
 
+// Neither leaving nor in a zone that was taken out. Both may change while calls
+// wait, so this is checked on arrival and before each start.
+bool egress::MayGetCalls() const {
+  return upstream_ && !upstream_->draining &&
+         fleet_.directory.ZonesOut().count(upstream_->zone) == 0;
+}
+
 core::reason egress::FindRefusal(const call& call, instant now) const {
   if (!upstream_ || upstream_->id != call.info.upstream) {
     return core::reason::kUnknownUpstream;
   }
-  if (stopping_ || upstream_->draining ||
-      fleet_.directory.ZonesOut().count(upstream_->zone) != 0) {
-    return core::reason::kStopping;
-  }
+  if (stopping_ || !MayGetCalls()) return core::reason::kStopping;
   if (attempts_.IsBarred(call.info.attempt)) return core::reason::kCancelled;
   if (state_ == upstream_state::kDown) return core::reason::kConnectFailed;
   if (!MayStart(now)) return core::reason::kOverloaded;
@@ -373,9 +377,7 @@
 
 void egress::StartQueuedCalls() {
   const instant now = fleet_.loop.Now();
-  const bool may_start =
-      upstream_ && !upstream_->draining && state_ != upstream_state::kDown;
-  if (!may_start) {
+  if (!MayGetCalls() || state_ == upstream_state::kDown) {
     RefuseQueued();
     return;
   }
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -81,6 +81,7 @@
              int status, const std::string& type, const std::string& body);
   void OnBody(const call_ptr& call, std::string_view bytes);
   void OnBodyEnd(const call_ptr& call);
+  bool MayGetCalls() const;
   core::reason FindRefusal(const call& call, instant now) const;
   void DecideBeforeBody(const call_ptr& call);
   void Enqueue(const call_ptr& call);
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -402,6 +402,46 @@
   }
 }
 
+// Calls wait in a queue for as long as their budget allows, which may exceed
+// the time within which an evacuated zone must get no more calls.
+TEST_CASE("an evacuated upstream gets none of the calls that wait for it") {
+  node_fleet fleet(1);
+  // With overload control, the queue would refuse these calls by itself.
+  fleet.overload_control = sched::feature_mode::kOff;
+  fleet.Start();
+  std::vector<std::pair<std::shared_ptr<stream::server_exchange>, std::string>>
+      held;
+  fleet.upstreams[0]->script =
+      [&held](const std::shared_ptr<stream::server_exchange>& call,
+              const std::string& id) { held.emplace_back(call, id); };
+  std::vector<std::shared_ptr<caller_exchange>> calls;
+  for (int i = 0; i < 6; ++i) {
+    calls.push_back(fleet.StartCall(0, "POST", "/write/1", "x"));
+  }
+  REQUIRE(fleet.net.RunUntil([&held] { return held.size() == 4; }));
+  fleet.store.Put("op/evacuate/z", "{}");
+  fleet.RunFor(milliseconds(100));
+  fleet.upstreams[0]->Answer(held[0].first, held[0].second, 200, "hello");
+  const auto ended = [&calls] {
+    return std::count_if(calls.begin(), calls.end(),
+                         [](const auto& call) { return call->ended; });
+  };
+  CHECK(fleet.net.RunUntil([&ended] { return ended() == 3; }));
+  CHECK(held.size() == 4);
+  for (std::size_t i = 1; i < held.size(); ++i) {
+    fleet.upstreams[0]->Answer(held[i].first, held[i].second, 200, "hello");
+  }
+  CHECK(fleet.net.RunUntil([&ended] { return ended() == 6; }));
+  const auto with_status = [&calls](int status) {
+    return std::count_if(
+        calls.begin(), calls.end(),
+        [status](const auto& call) { return call->status == status; });
+  };
+  CHECK(with_status(200) == 4);
+  CHECK(with_status(503) == 2);
+  CHECK(fleet.Runs() == 4);
+}
+
 TEST_CASE("upstreams that drain, are removed or evacuated get no more calls") {
   node_fleet fleet(2);
   fleet.Start();
