Add the pattern of a fleet that returns without state

Change: the load model can take all daemons and upstreams down and bring them back without state; pattern and test "the whole fleet returns". The cold rate in the queue's prediction was tried and isn't kept.

--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -72,6 +72,7 @@
     }
     ScheduleNews();
     Tick();
+    if (pattern_.lost_until_s > 0) ScheduleLoss();
     const instant end = kStart + Ms(pattern_.length_s * 1000) + Ms(10000);
     while (!events_.empty() && events_.top().at <= end) {
       event next = events_.top();
@@ -320,8 +321,45 @@
   // -------------------------------------------------------------------------
   // Daemons.
 
+  bool IsLost() const {
+    return AtS() >= pattern_.lost_from_s && AtS() < pattern_.lost_until_s;
+  }
+
   bool IsUp(const upstream& at) const {
-    return AtS() >= at.what->from_s && AtS() < at.what->until_s;
+    return !IsLost() && AtS() >= at.what->from_s && AtS() < at.what->until_s;
+  }
+
+  void ScheduleLoss() {
+    At(pattern_.lost_from_s * 1000, [this] { LoseAll(); });
+    At(pattern_.lost_until_s * 1000, [this] {
+      for (const auto& at : upstreams_) {
+        at->gate.SetCold(now_ + Ms(pattern_.cold_after_loss_s * 1000),
+                         pattern_.cold_after_loss_per_s, now_);
+      }
+    });
+  }
+
+  // All calls end, and daemons and upstreams forget what they know.
+  void LoseAll() {
+    std::vector<call_ptr> lost;
+    for (const auto& at : upstreams_) {
+      for (const auto& [id, each] : at->waiting) lost.push_back(each);
+      for (const auto& [id, each] : at->running) lost.push_back(each);
+      auto anew = std::make_unique<upstream>();
+      anew->what = at->what;
+      anew->id = at->id;
+      anew->queue.SetOrder(options_.order);
+      anew->is_updated = at->is_updated;
+      *at = std::move(*anew);
+    }
+    for (auto& picker : pickers_) picker = mesh::target_picker(random_());
+    std::fill(budgets_.begin(), budgets_.end(), sched::budget_history());
+    std::fill(pacers_.begin(), pacers_.end(), sched::return_pacer());
+    std::fill(gates_.begin(), gates_.end(), sched::admission_gate());
+    std::fill(nested_.begin(), nested_.end(), nested_state());
+    std::fill(sent_costs_.begin(), sent_costs_.end(), sched::cost_predictor());
+    typical_ = mesh::time_estimator();
+    for (const call_ptr& each : lost) Unanswered(each, false);
   }
 
   mesh::load_news LoadOf(const upstream& at) const {
@@ -543,6 +581,10 @@
 
   void Enqueue(const call_ptr& which, upstream* at) {
     if (which->ended) return;
+    if (IsLost()) {
+      Unanswered(which, false);
+      return;
+    }
     which->at = at;
     which->id = ++last_id_;
     which->queued = now_;
@@ -577,7 +619,7 @@
 
   void Pump(upstream* at) {
     while (CanStartOne(*at)) {
-      if (!at->gate.Take(now_)) break;
+        if (!at->gate.Take(now_)) break;
       const auto next = HasSlot(*at, false)
                             ? at->queue.Pop(now_, RunningWork(*at))
                             : at->queue.PopNested(now_);
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -74,6 +74,13 @@
   double ignore_share = 0;   // Callers that come back at once, and more often.
   // Retry-After of a call for which no upstream takes calls; daemons: 250 ms.
   double no_upstream_ms = 0;
+  // All daemons and upstreams are down in this time and come back without
+  // state, the upstreams cold for `cold_after_loss_s` at
+  // `cold_after_loss_per_s` calls a second each. 0: never.
+  double lost_from_s = 0;
+  double lost_until_s = 0;
+  double cold_after_loss_s = 0;
+  double cold_after_loss_per_s = 0;
   double length_s = 30;
   bool uses_cost_routing = false;
   // Daemons learn which calls runs make, refuse calls whose callees are full,
@@ -147,6 +154,9 @@
 // No upstream takes calls from 10 s until then.
 inline constexpr double kAllBackS = 10.4;
 load_pattern AllComeBackPattern();
+// All daemons and upstreams lose power at 10 s and are back from then on.
+inline constexpr double kFleetBackS = 12;
+load_pattern FleetReturnPattern();
 load_pattern LookAlikesPattern();
 load_pattern TwoKindsPattern();
 // One service gets twice its capacity, in three ranks.
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -321,6 +321,18 @@
   return pattern;
 }
 
+load_pattern FleetReturnPattern() {
+  load_pattern pattern =
+      Base("the whole fleet returns", "cold upstreams serve who can be served");
+  pattern.lost_from_s = kFleetBackS - 2;
+  pattern.lost_until_s = kFleetBackS;
+  pattern.cold_after_loss_s = 6;
+  pattern.cold_after_loss_per_s = 12;  // About 0.3 of a service's usual rate.
+  for (load_class& each : pattern.classes) each.retries = 1;
+  pattern.no_upstream_ms = 250;
+  return pattern;
+}
+
 load_pattern LookAlikesPattern() {
   load_pattern pattern = MixedRoutePattern("/");
   pattern.name = "look-alikes of unlike cost";
@@ -367,7 +379,7 @@
       WideFleetPattern(),   UploadsPattern(),        LoadedZonePattern(),
       LostZonePattern(),    ShortCalleePattern(),    LastingOverloadPattern(),
       AllComeBackPattern(), ThreeRanksPattern(),     LookAlikesPattern(),
-      TwoKindsPattern()};
+      TwoKindsPattern(),    FleetReturnPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -207,6 +207,23 @@
   }
 }
 
+// Guards against a fleet that stays behind when it returns without state: a
+// backlog of callers that come back, or a kind of calls that cold upstreams
+// never serve.
+TEST_CASE("pattern: the whole fleet returns") {
+  constexpr double kColdS = 6;
+  CheckNoClassStarves(Mean(FleetReturnPattern(), OverloadControl()));
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const load_result result =
+        RunLoad(FleetReturnPattern(), seed, OverloadControl());
+    const auto warm = static_cast<std::size_t>(kFleetBackS + kColdS);
+    for (std::size_t i = warm; i < warm + 5; ++i) {
+      CAPTURE(i);
+      CHECK(result.worth_by_s.at(i) >= 0.95);
+    }
+  }
+}
+
 // In the order by aim, calls of the last rank got nothing during an overload.
 TEST_CASE("pattern: three ranks in one service") {
   const load_result result = Mean(ThreeRanksPattern(), OverloadControl());
