Count bytes between daemons by kind, and why connections end

Cause: operators couldn't see what crosses zones, nor why connections to upstreams aren't used again.

Change: pimentohall_peer_bytes_total by kind, direction and zone, pimentohall_peer_links_total, pimentohall_upstream_connections_total and ..._closed_total by reason. A client pool counts its connections and reports the bytes of each request; counters are looked up once.

Evidence: new test of stream_test, and names in node_test; both pass.

--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -26,6 +26,7 @@
 // owned by shared pointers, and may be closed or released from inside their own
 // handlers.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -133,9 +134,10 @@
   // Memory of received bytes that aren't passed on: those not parsed yet, and
   // the head that is being parsed.
   std::size_t ReceivedBytes() const;
-  // Bytes written to the socket since the last `ResetSentCount`.
+  // Bytes written to and read from the socket since the last `ResetCounts`.
   std::size_t SentBytes() const { return sent_bytes_; }
-  void ResetSentCount() { sent_bytes_ = 0; }
+  std::size_t ReadBytes() const { return read_bytes_; }
+  void ResetCounts() { sent_bytes_ = read_bytes_ = 0; }
   bool IsOpen() const { return stream_ != nullptr; }
   // The peer's IPv4 address without the port; empty if unknown.
   std::string PeerAddress() const;
@@ -171,6 +173,8 @@
   static void OnEvent(bufferevent* stream, short events, void* self);
   static void CountSent(evbuffer* output, const evbuffer_cb_info* info,
                         void* self);
+  static void CountRead(evbuffer* input, const evbuffer_cb_info* info,
+                        void* self);
   void Parse();
   void PauseFullBuffer();
   void DropReceivedBytes();
@@ -185,6 +189,7 @@
   bool has_dropped_ = false;     // Some were dropped.
   bool reading_ = true;
   std::size_t sent_bytes_ = 0;
+  std::size_t read_bytes_ = 0;
 };
 
 // ---------------------------------------------------------------------------
@@ -488,6 +493,32 @@
 
 class client_pool;
 
+// Why a pool closed a connection.
+enum class connection_end {
+  kAnnounced,    // The server announced the close.
+  kCancelled,    // Its request was cancelled.
+  kFailed,       // It broke during a request, or couldn't be opened.
+  kBadAnswer,    // The server sent bytes that are no answer.
+  kOtherAnswer,  // The server sent an answer to another request.
+  kBrokenIdle,   // It was closed, or bytes arrived, while it was idle.
+  kExpired,      // It was idle for longer than it may be used again.
+  kNotNeeded,    // To make room, or its server is no longer used.
+};
+inline constexpr std::size_t kConnectionEnds = 8;
+
+struct pool_counts {
+  std::uint64_t opened = 0;  // Connections.
+  std::uint64_t reused = 0;  // Requests on a connection that was idle.
+  std::array<std::uint64_t, kConnectionEnds> ended{};  // By `connection_end`.
+};
+
+// What a request cost on its connection.
+struct request_traffic {
+  std::size_t sent_bytes = 0;
+  std::size_t read_bytes = 0;
+  bool reused_connection = false;
+};
+
 // One request and its answer. Releasing the pointer doesn't cancel the request;
 // `Cancel` does.
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -501,6 +532,9 @@
   std::size_t UnsentBytes() const;
   // True if a byte of the request was written to the socket.
   bool WasSent() const;
+  // The caller's mark, for `client_pool::on_released`.
+  void SetTag(int tag) { tag_ = tag; }
+  int Tag() const { return tag_; }
 
  private:
   friend class client_pool;
@@ -515,6 +549,9 @@
   bool reusable_ = true;
   bool finished_ = false;
   int keep_alive_s_ = 0;
+  int tag_ = 0;
+  bool reused_connection_ = false;
+  connection_end end_ = connection_end::kFailed;
 };
 
 struct pool_options {
@@ -548,7 +585,10 @@
   void CloseIdle(const net::endpoint& target);
   // Fails all exchanges with `target` as lost or not sent.
   void FailAll(const net::endpoint& target);
-  std::uint64_t ConnectionsOpened() const { return opened_; }
+  std::uint64_t ConnectionsOpened() const { return counts_.opened; }
+  const pool_counts& Counts() const { return counts_; }
+  // Called once for each request, when it no longer uses its connection.
+  std::function<void(const exchange&, const request_traffic&)> on_released;
 
  private:
   friend class exchange;
@@ -573,13 +613,16 @@
   void Release(exchange* call);
   void Fail(exchange* call, failure reason);
   void CloseExpired();
+  void CountEnd(connection_end end) {
+    ++counts_.ended[static_cast<std::size_t>(end)];
+  }
 
   net::event_loop& loop_;
   net::timer_service& timers_;
   const pool_options options_;
   std::map<std::string, target_state> targets_;
   sigc::connection expiry_timer_;
-  std::uint64_t opened_ = 0;
+  pool_counts counts_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -60,6 +60,9 @@
   const sched::upstream_monitor& Monitor() const { return monitor_; }
   // Calls that may run at the upstream at present; 0: no upstream.
   int UsableSlots(instant now) const;
+  const stream::pool_counts& UpstreamConnections() const {
+    return pool_.Counts();
+  }
   // Recent crash reports, to be sent to the other daemons.
   std::vector<core::crash_report> CrashNews() const;
   void OnCrashNews(const core::crash_report& report);
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -116,6 +116,11 @@
     return found == zone_of_address.end() ? "" : found->second;
   }
 
+  // In another availability zone than this daemon, as far as known.
+  bool IsFar(const std::string& address) const {
+    return ZoneOf(address) != settings.zone;
+  }
+
   // Where the daemon on the VM with this address accepts calls of other
   // daemons.
   net::endpoint PeerEndpoint(const std::string& address) const {
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -25,6 +25,9 @@
 // A link between daemons counts as failed after this time of silence.
 constexpr duration kLinkSilenceTimeout = milliseconds(600);
 constexpr duration kLinkConnectTimeout = milliseconds(400);
+// Marks of attempts, for the metrics of their traffic.
+constexpr int kNestedTag = 1;
+constexpr int kFarTag = 2;
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(20);
 // Until the first configuration is in force.
 constexpr duration kIdleTimeoutAtStart = std::chrono::seconds(60);
@@ -52,6 +55,10 @@
              stream::message_head head) {
         OnRequest(inbound, std::move(head));
       };
+  pool_.on_released = [this](const stream::exchange& attempt,
+                             const stream::request_traffic& traffic) {
+    CountTraffic(attempt.Tag(), traffic);
+  };
 }
 
 ingress::~ingress() = default;
@@ -495,11 +502,24 @@
     StartNextAttempt(call);
     return;
   }
+  const bool is_far = fleet_.IsFar(address);
+  call->attempt->SetTag((call->nested ? kNestedTag : 0) |
+                        (is_far ? kFarTag : 0));
   fleet_.picker.OnSent(upstream, call->cost.value_or(duration{0}));
   fleet_.metrics.CountAttempt(call->sent > 0);
   if (!call->body_withheld) SendBody(call);
 }
 
+void ingress::CountTraffic(int tag, const stream::request_traffic& traffic) {
+  using kinds = node_metrics::peer_traffic;
+  const kinds kind =
+      (tag & kNestedTag) != 0 ? kinds::kNestedCall : kinds::kCall;
+  const bool is_far = (tag & kFarTag) != 0;
+  fleet_.metrics.CountPeerBytes(kind, is_far, true, traffic.sent_bytes);
+  fleet_.metrics.CountPeerBytes(kind, is_far, false, traffic.read_bytes);
+  fleet_.metrics.CountLink(traffic.reused_connection, is_far);
+}
+
 std::size_t ingress::RequestBytes(const call& call) {
   const std::size_t stated =
       call.head.framing == stream::body_framing::kLength ? call.head.length : 0;
--- a/src/node/ingress_answers.cc
+++ b/src/node/ingress_answers.cc
@@ -277,6 +277,9 @@
                "&id=" + call->attempt_id;
   query.timeout =
       std::min(kAttemptQueryTimeout, call->deadline - fleet_.loop.Now());
+  fleet_.metrics.CountPeerBytes(node_metrics::peer_traffic::kAttemptQuery,
+                                fleet_.IsFar(call->address), true,
+                                query.path.size());
   attempt_queries_.Start(
       query,
       [this, call, done, attempt = call->attempt_id](
--- a/src/node/news_service.cc
+++ b/src/node/news_service.cc
@@ -60,7 +60,14 @@
   const std::string bytes = mesh::EncodeNews(news);
   const ssize_t sent = sendto(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT,
                               reinterpret_cast<sockaddr*>(&to), sizeof(to));
-  if (sent > 0) fleet_.metrics.CountNews(true, bytes.size());
+  if (sent > 0) Count(true, address, bytes.size());
+}
+
+void news_service::Count(bool sent, const std::string& address,
+                         std::size_t bytes) {
+  fleet_.metrics.CountNews(sent, bytes);
+  fleet_.metrics.CountPeerBytes(node_metrics::peer_traffic::kStatus,
+                                fleet_.IsFar(address), sent, bytes);
 }
 
 void news_service::Receive() {
@@ -74,7 +81,7 @@
     if (size < 0) return;
     char address[INET_ADDRSTRLEN] = "";
     inet_ntop(AF_INET, &sender.sin_addr, address, sizeof(address));
-    fleet_.metrics.CountNews(false, static_cast<std::size_t>(size));
+    Count(false, address, static_cast<std::size_t>(size));
     auto news =
         mesh::DecodeNews({bytes, static_cast<std::size_t>(size)}, address);
     if (news) {
--- a/src/node/news_service.h
+++ b/src/node/news_service.h
@@ -26,6 +26,7 @@
 
  private:
   void Receive();
+  void Count(bool sent, const std::string& address, std::size_t bytes);
 
   fleet_state& fleet_;
   int socket_ = -1;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -490,6 +490,7 @@
     gauges.rank_limit = egress_.RankLimit();
     gauges.limited_upstreams = fleet_.gate.Size();
     gauges.reserved_slots = egress_.ReservedSlots(now);
+    fleet_.metrics.SetUpstreamConnections(egress_.UpstreamConnections());
     fleet_.metrics.CountDroppedLogLines(net::DroppedLogLines());
     for (const auto& [name, server] : Listeners()) {
       fleet_.metrics.SetListener({name, server->Connections(),
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -62,6 +62,16 @@
       news_(Counters("pimentohall_news_total", "News datagrams.")),
       news_bytes_(
           Counters("pimentohall_news_bytes_total", "Bytes of news datagrams.")),
+      peer_bytes_(Counters("pimentohall_peer_bytes_total",
+                           "Bytes exchanged with other daemons, by kind.")),
+      links_(Counters("pimentohall_peer_links_total",
+                      "Requests to other daemons, by use of a link.")),
+      upstream_connections_(
+          Counters("pimentohall_upstream_connections_total",
+                   "Calls to the upstream, by use of a connection.")),
+      upstream_closes_(
+          Counters("pimentohall_upstream_connections_closed_total",
+                   "Connections to the upstream that were closed.")),
       dropped_lines_(Counters("pimentohall_dropped_log_lines_total",
                               "Log lines dropped for lack of room.")),
       client_limits_(Counters("pimentohall_client_limits_total",
@@ -165,6 +175,44 @@
       .Increment(static_cast<double>(bytes));
 }
 
+void node_metrics::CountPeerBytes(peer_traffic kind, bool is_far, bool sent,
+                                  std::size_t bytes) {
+  static constexpr const char* kNames[kPeerTraffics] = {
+      "call", "nested_call", "status", "items", "attempt_query"};
+  const auto index = static_cast<std::size_t>(kind);
+  prometheus::Counter*& counter = peer_byte_counters_[index][is_far][sent];
+  if (counter == nullptr) {
+    counter = &peer_bytes_->Add({{"kind", kNames[index]},
+                                 {"zone", is_far ? "other" : "same"},
+                                 {"direction", sent ? "sent" : "received"}});
+  }
+  counter->Increment(static_cast<double>(bytes));
+}
+
+void node_metrics::CountLink(bool is_reused, bool is_far) {
+  prometheus::Counter*& counter = link_counters_[is_reused][is_far];
+  if (counter == nullptr) {
+    counter = &links_->Add({{"event", is_reused ? "reused" : "opened"},
+                            {"zone", is_far ? "other" : "same"}});
+  }
+  counter->Increment();
+}
+
+void node_metrics::SetUpstreamConnections(const stream::pool_counts& counts) {
+  RaiseTo(&upstream_connections_->Add({{"event", "opened"}}),
+          static_cast<double>(counts.opened));
+  RaiseTo(&upstream_connections_->Add({{"event", "reused"}}),
+          static_cast<double>(counts.reused));
+  // By `stream::connection_end`.
+  static constexpr const char* kReasons[stream::kConnectionEnds] = {
+      "announced_close", "cancelled",   "failed",  "bad_answer",
+      "other_answer",    "broken_idle", "expired", "not_needed"};
+  for (std::size_t i = 0; i < stream::kConnectionEnds; ++i) {
+    RaiseTo(&upstream_closes_->Add({{"reason", kReasons[i]}}),
+            static_cast<double>(counts.ended[i]));
+  }
+}
+
 void node_metrics::CountDroppedLogLines(std::uint64_t total) {
   RaiseTo(&dropped_lines_->Add({}), static_cast<double>(total));
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -38,6 +38,21 @@
   // Records the Retry-After that the pacer chose.
   void ObserveRetryAfter(core::duration wait);
   void CountNews(bool sent, std::size_t bytes);
+  // What daemons exchange with one another.
+  enum class peer_traffic {
+    kCall,          // Calls of callers, and their answers.
+    kNestedCall,    // Calls of upstreams' runs.
+    kStatus,        // News.
+    kItems,         // Copies and patches of the source's items.
+    kAttemptQuery,  // Questions about the outcome of attempts.
+  };
+  // Bytes of messages, counted by the daemon that opened the connection; both
+  // sides count news. `is_far`: to or from another zone.
+  void CountPeerBytes(peer_traffic kind, bool is_far, bool sent,
+                      std::size_t bytes);
+  // A request on a link to another daemon.
+  void CountLink(bool is_reused, bool is_far);
+  void SetUpstreamConnections(const stream::pool_counts& counts);
   void CountDroppedLogLines(std::uint64_t total);
 
   // What the clients of a listener hold.
@@ -84,6 +99,14 @@
   prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
+  prometheus::Family<prometheus::Counter>* peer_bytes_;
+  static constexpr std::size_t kPeerTraffics = 5;
+  // By `peer_traffic`, zone and direction; null until counted.
+  prometheus::Counter* peer_byte_counters_[kPeerTraffics][2][2] = {};
+  prometheus::Family<prometheus::Counter>* links_;
+  prometheus::Counter* link_counters_[2][2] = {};  // By reuse and zone.
+  prometheus::Family<prometheus::Counter>* upstream_connections_;
+  prometheus::Family<prometheus::Counter>* upstream_closes_;
   prometheus::Family<prometheus::Counter>* dropped_lines_;
   prometheus::Family<prometheus::Counter>* client_limits_;
   prometheus::Family<prometheus::Gauge>* client_connections_;
--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -147,6 +147,11 @@
     const tl::expected<net::http_answer, net::http_failure>& answer) {
   using import_result = source_mirror::import_result;
   const bool answered = answer && answer->status == 200 && answer->body;
+  if (answered) {
+    fleet_.metrics.CountPeerBytes(node_metrics::peer_traffic::kItems,
+                                  fleet_.IsFar(peer), false,
+                                  answer->body->size());
+  }
   auto result = import_result::kRejected;
   if (answered && !answer->body->empty()) {
     result = mirror_.Import(*answer->body);
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -42,6 +42,7 @@
   const auto self = shared_from_this();
   handlers_ = {};
   reusable_ = false;
+  end_ = connection_end::kCancelled;
   if (!finished_) pool_->Release(this);
 }
 
@@ -82,9 +83,10 @@
   while (!state->idle.empty()) {
     idle_connection last = std::move(state->idle.back());
     state->idle.pop_back();
-    if (last.usable_until > loop_.Now() && last.conn->IsQuiet()) {
-      return last.conn;
-    }
+    const bool is_usable = last.usable_until > loop_.Now();
+    if (is_usable && last.conn->IsQuiet()) return last.conn;
+    CountEnd(is_usable ? connection_end::kBrokenIdle
+                       : connection_end::kExpired);
     last.conn->Close();
     --state->open;
   }
@@ -109,6 +111,7 @@
   oldest->idle.front().conn->Close();
   oldest->idle.pop_front();
   --oldest->open;
+  CountEnd(connection_end::kNotNeeded);
   return true;
 }
 
@@ -131,11 +134,13 @@
     call->conn_ =
         std::make_shared<connection>(loop_, connection::side::kClient, -1);
     ++state.open;
-    ++opened_;
+    ++counts_.opened;
   }
+  if (reused) ++counts_.reused;
+  call->reused_connection_ = reused;
   state.running[call.get()] = call;
   InstallHandlers(call, std::move(is_own_answer));
-  call->conn_->ResetSentCount();
+  call->conn_->ResetCounts();
   if (reused) {
     call->conn_->NextMessage();
   } else {
@@ -182,6 +187,7 @@
   conn->on_closed = [this, raw](end_reason reason) {
     const bool sent = raw->conn_->SentBytes() > 0;
     const bool bad = reason == end_reason::kBadBytes;
+    raw->end_ = bad ? connection_end::kBadAnswer : connection_end::kFailed;
     Fail(raw, !sent ? failure::kNotSent
               : bad ? failure::kBadAnswer
                     : failure::kLost);
@@ -191,11 +197,15 @@
 void client_pool::OnHead(
     exchange* call, message_head head,
     const std::function<bool(const message_head&)>& is_own_answer) {
-  if (head.close || head.ends_with_connection) call->reusable_ = false;
+  if (head.close || head.ends_with_connection) {
+    call->reusable_ = false;
+    call->end_ = connection_end::kAnnounced;
+  }
   call->keep_alive_s_ = head.keep_alive_s;
   call->skipping_ = is_own_answer && !is_own_answer(head);
   if (call->skipping_) {
     call->reusable_ = false;
+    call->end_ = connection_end::kOtherAnswer;
     return;
   }
   if (const auto handler = call->handlers_.on_head) handler(std::move(head));
@@ -228,10 +238,15 @@
   conn->on_drained = nullptr;
   conn->on_continue = nullptr;
   call->handlers_ = {};  // The handlers may own the exchange.
+  if (on_released) {
+    on_released(*call, {conn->SentBytes(), conn->ReadBytes(),
+                        call->reused_connection_});
+  }
   const bool keep = call->reusable_ && call->answer_ended_ &&
                     call->request_ended_ && conn->IsOpen();
   if (!keep) {
     conn->on_closed = nullptr;
+    CountEnd(call->end_);
     // A request that was given up must not arrive after a loss on the way.
     if (call->answer_ended_) {
       conn->Close();
@@ -253,6 +268,7 @@
       if (it->conn.get() != raw) continue;
       pool.idle.erase(it);
       --pool.open;
+      CountEnd(connection_end::kBrokenIdle);
       return;
     }
   };
@@ -276,6 +292,7 @@
   for (idle_connection& unused : found->second.idle) {
     unused.conn->on_closed = nullptr;
     unused.conn->Close();
+    CountEnd(connection_end::kNotNeeded);
     --found->second.open;
   }
   found->second.idle.clear();
@@ -301,6 +318,7 @@
       state.idle.front().conn->Close();
       state.idle.pop_front();
       --state.open;
+      CountEnd(connection_end::kExpired);
     }
     const bool is_unused = state.idle.empty() && state.running.empty();
     it = is_unused ? targets_.erase(it) : std::next(it);
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -307,6 +307,7 @@
   bufferevent_setwatermark(stream_, EV_READ, 0, kMaxReadAheadBytes);
   evbuffer_add_cb(bufferevent_get_output(stream_), &connection::CountSent,
                   this);
+  evbuffer_add_cb(bufferevent_get_input(stream_), &connection::CountRead, this);
   bufferevent_enable(stream_, EV_READ | EV_WRITE);
 }
 
@@ -381,6 +382,8 @@
   bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
   evbuffer_remove_cb(bufferevent_get_output(stream), &connection::CountSent,
                      this);
+  evbuffer_remove_cb(bufferevent_get_input(stream), &connection::CountRead,
+                     this);
   // Closed here, as libevent frees a bufferevent with deferred callbacks only
   // in the next turn of the loop: many ends in one turn would keep descriptors.
   const int socket = bufferevent_getfd(stream);
@@ -587,6 +590,11 @@
   static_cast<connection*>(self)->sent_bytes_ += info->n_deleted;
 }
 
+void connection::CountRead(evbuffer*, const evbuffer_cb_info* info,
+                           void* self) {
+  static_cast<connection*>(self)->read_bytes_ += info->n_added;
+}
+
 void connection::CloseAndReport(end_reason reason) {
   if (stream_ == nullptr) return;
   const auto handler = on_closed;
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -586,7 +586,12 @@
   CHECK(metrics.find("pimentohall_call_seconds_bucket") != std::string::npos);
   for (const char* name :
        {"pimentohall_upstream_speed", "pimentohall_usable_slots 4",
-        "pimentohall_hidden_calls"}) {
+        "pimentohall_hidden_calls",
+        "pimentohall_peer_bytes_total{direction=\"sent\",kind=\"call\"",
+        "pimentohall_peer_links_total{event=\"opened\"",
+        "pimentohall_upstream_connections_total{event=\"opened\"} 1",
+        "pimentohall_upstream_connections_closed_total{reason=\"expired\"} "
+        "0"}) {
     CAPTURE(name);
     CHECK(metrics.find(name) != std::string::npos);
   }
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -137,6 +137,58 @@
   CHECK(f.front.Connections() == 1);
 }
 
+// Operators see from these counts why connections aren't used again.
+TEST_CASE("a pool counts why its connections ended") {
+  stream_fixture f;
+  std::vector<request_traffic> released;
+  f.pool.on_released = [&released](const exchange&,
+                                   const request_traffic& traffic) {
+    released.push_back(traffic);
+  };
+  const auto ended = [&f](connection_end end) {
+    return f.pool.Counts().ended[static_cast<std::size_t>(end)];
+  };
+  (void)f.Get("/a");
+  (void)f.Get("/b");
+  CHECK(f.pool.Counts().opened == 1);
+  CHECK(f.pool.Counts().reused == 1);
+  REQUIRE(released.size() == 2);
+  CHECK_FALSE(released[0].reused_connection);
+  CHECK(released[1].reused_connection);
+  CHECK(released[1].sent_bytes == released[0].sent_bytes);
+  CHECK(released[1].read_bytes > std::string("hello").size());
+
+  f.answer = [&f](const std::shared_ptr<server_exchange>& conn) {
+    message_head head;
+    head.status = 200;
+    head.framing = body_framing::kLength;
+    head.close = true;
+    conn->SendHead(head);
+    conn->SendEnd();
+    f.front.FinishRequest(conn);
+  };
+  (void)f.Get("/close");
+  CHECK(ended(connection_end::kAnnounced) == 1);
+
+  f.answer = nullptr;
+  message_head head;
+  head.method = "GET";
+  head.target = "/cancelled";
+  f.requests.clear();
+  const auto cancelled = f.pool.Start(f.target, head, {});
+  CHECK(f.net.RunUntil([&f] { return f.requests.size() == 1; }));
+  cancelled->Cancel();
+  CHECK(ended(connection_end::kCancelled) == 1);
+
+  f.answer = [](const std::shared_ptr<server_exchange>& conn) {
+    conn->Close();
+  };
+  CHECK(f.Get("/reset").rfind("failed", 0) == 0);
+  CHECK(ended(connection_end::kFailed) == 1);
+  CHECK(released.size() == 5);
+  CHECK(f.pool.Counts().opened == 3);
+}
+
 TEST_CASE("an answer may come before the request's body is in") {
   stream_fixture f;
   f.front.on_request = [&f](const std::shared_ptr<server_exchange>& conn,
