Report the end of a message after its bytes have left the buffer

Cause: the parser called on_end before the connection drained the parsed bytes. A queue starts its next call from there; the pool then found bytes in the buffer of the connection that had just become free, took them for an error, closed it and opened a new one. So under load nearly every call from a queue did.

Change: the end is reported once the bytes are drained.

Evidence: the new test opened 5 connections for 5 requests before, and opens 1.

--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -176,6 +176,7 @@
   static void CountRead(evbuffer* input, const evbuffer_cb_info* info,
                         void* self);
   void Parse();
+  void ReportEnd();
   void PauseFullBuffer();
   void DropReceivedBytes();
   void CloseAndReport(end_reason reason);
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -14,6 +14,7 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <utility>
 
 #include "net/socket.h"
 #include "pimentohall/stream.h"
@@ -135,6 +136,8 @@
     return HTTP_PARSER_ERRNO(&state_) != HPE_OK && !IsPaused();
   }
   bool InMessage() const { return in_message_; }
+  // Whether a message ended since the last call.
+  bool TakeEnd() { return std::exchange(ended_, false); }
   bool HeadTooLong() const {
     return head_too_long_ || HTTP_PARSER_ERRNO(&state_) == HPE_HEADER_OVERFLOW;
   }
@@ -270,9 +273,9 @@
     }
     in_message_ = false;
     interim_answers_ = 0;
+    ended_ = true;
     http_parser_pause(&state_, 1);
-    if (const auto handler = owner_->on_end) handler();
-    return owner_->IsOpen() ? 0 : -1;
+    return 0;
   }
 
   connection* const owner_;
@@ -284,6 +287,7 @@
   bool head_too_long_ = false;
   bool in_head_ = false;
   bool in_message_ = false;
+  bool ended_ = false;  // Not reported yet.
   bool in_value_ = true;
   bool is_interim_ = false;
   int interim_answers_ = 0;
@@ -538,6 +542,7 @@
       return;
     }
     evbuffer_drain(input, parsed);
+    ReportEnd();
   }
   PauseFullBuffer();
   // On the client side, bytes that follow a complete answer are an error.
@@ -547,6 +552,13 @@
   }
 }
 
+// Called when the message's bytes have left the buffer: the handler may start
+// the next request on this connection, which must look unused.
+void connection::ReportEnd() {
+  if (!parser_->TakeEnd()) return;
+  if (const auto handler = on_end) handler();
+}
+
 // libevent reports a full buffer again and again, although nothing of it can be
 // parsed before the next message may be read.
 void connection::PauseFullBuffer() {
@@ -578,6 +590,8 @@
     if (!conn->IsOpen()) return;
     const bool whole = conn->drops_received_ || conn->parser_->ParseEof();
     if (!conn->IsOpen()) return;
+    conn->ReportEnd();
+    if (!conn->IsOpen()) return;
     conn->CloseAndReport(whole ? end_reason::kClosed : end_reason::kReset);
     return;
   }
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -137,6 +137,28 @@
   CHECK(f.front.Connections() == 1);
 }
 
+// A queue starts its next call when an answer ends. That call must not need a
+// new connection because the answer's bytes are still in the buffer.
+TEST_CASE("a request that starts when an answer ends reuses its connection") {
+  stream_fixture f;
+  int ended = 0;
+  message_head head;
+  head.method = "GET";
+  head.target = "/";
+  std::function<void()> start = [&] {
+    exchange_handlers handlers;
+    handlers.on_end = [&] {
+      if (++ended < 5) start();
+    };
+    const bool started = f.pool.Start(f.target, head, handlers) != nullptr;
+    REQUIRE(started);
+  };
+  start();
+  CHECK(f.net.RunUntil([&ended] { return ended == 5; }));
+  CHECK(f.pool.ConnectionsOpened() == 1);
+  CHECK(f.pool.Counts().reused == 4);
+}
+
 // Operators see from these counts why connections aren't used again.
 TEST_CASE("a pool counts why its connections ended") {
   stream_fixture f;
