Play load reports in the load model; run the patterns beside other tests

Change: upstreams of the load model report calls, slots and pace; three patterns and their tests, one test of reports that can't be relied on, load_patterns has the option "reports".

Counts that are always high still cost more than 0.02 (KNOWN-RED.txt). Tried and not kept: a bound by cancelled calls.

--- a/measure/load_patterns/main.cc
+++ b/measure/load_patterns/main.cc
@@ -2,9 +2,9 @@
 // pattern, the mean over SEEDS seeds (default 5) from FIRST (1) on.
 //
 // OPTIONS is a comma-separated list: a queue order (aim, newest, set, classes),
-// the parts of overload control that are used (retries, gate, pacer), and
-// "cost" for cost routing; "on": all as with the setting overload_control.
-// Default: none.
+// the parts of overload control that are used (retries, gate, pacer), "cost"
+// for cost routing, and "reports" for cost routing with load reports; "on": all
+// as with the setting overload_control. Default: none.
 
 #include <cstdio>
 #include <cstdlib>
@@ -28,7 +28,8 @@
       {"retries", &load_options::aims_of_retries},
       {"gate", &load_options::gate},
       {"pacer", &load_options::pacer},
-      {"cost", &load_options::cost}};
+      {"cost", &load_options::cost},
+      {"reports", &load_options::reports}};
   load_options options;
   std::istringstream words(text);
   for (std::string word; std::getline(words, word, ',');) {
@@ -52,6 +53,7 @@
   double worst = 0;
   double wait = 0;
   double in_vain = 0;
+  double shed = 0;
   std::map<std::string, class_result> sums;
   for (int seed = first; seed < first + seeds; ++seed) {
     const load_result result =
@@ -61,6 +63,7 @@
     worst += result.worst_window / seeds;
     wait += result.refused_wait_ms / seeds;
     in_vain += result.held_in_vain / seeds;
+    shed += result.shed / seeds;
     for (const auto& [name, each] : result.classes) {
       class_result& sum = sums[name];
       sum.asked += each.asked;
@@ -68,8 +71,8 @@
       sum.late += each.late;
     }
   }
-  std::printf("%-30s %6.3f %6.3f %6.3f %8.0f %8.4f ", pattern.name.c_str(),
-              worth, served, worst, wait, in_vain);
+  std::printf("%-30s %6.3f %6.3f %6.3f %8.0f %8.4f %6.4f ",
+              pattern.name.c_str(), worth, served, worst, wait, in_vain, shed);
   for (const load_class& each : pattern.classes) {
     const class_result& sum = sums[each.name];
     if (each.per_s <= 0) {
@@ -95,10 +98,13 @@
     std::cerr << "unknown option in " << argv[2] << "\n";
     return 2;
   }
-  std::printf("%-30s %6s %6s %6s %8s %8s  %s\n", "pattern", "worth", "served",
-              "worst", "wait ms", "in vain", "in aim + late, by kind");
+  std::printf("%-30s %6s %6s %6s %8s %8s %6s  %s\n", "pattern", "worth",
+              "served", "worst", "wait ms", "in vain", "shed",
+              "in aim + late, by kind");
   for (auto pattern : pimentohall::testing::AllPatterns()) {
-    pattern.uses_cost_routing = options->cost;
+    pattern.uses_cost_routing = options->cost || options->reports;
+    if (options->reports)
+      pattern.reports = pimentohall::testing::load_reports::kTrue;
     pimentohall::testing::PrintPattern(pattern, seeds, first, *options);
   }
   return 0;
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -22,19 +22,35 @@
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
 
-# Unit tests: one count for each doctest case.
-timeout 2400 "$folder/unit_tests" >"$log" 2>&1
-status=$?
-grep -E 'ERROR|FATAL|TEST CASE|values:' "$log" | head -60
-summary=$(sed 's/\x1b\[[0-9;]*m//g' "$log" | grep -E 'test cases:' | tail -1)
-unit_passed=$(sed -nE 's/.*\| +([0-9]+) passed.*/\1/p' <<<"$summary")
-unit_failed=$(sed -nE 's/.*\| +([0-9]+) failed.*/\1/p' <<<"$summary")
-passed=$((passed + ${unit_passed:-0}))
-failed=$((failed + ${unit_failed:-0}))
-if [ -z "$summary" ] || { [ "$status" -ne 0 ] && [ "${unit_failed:-0}" -eq 0 ]; }; then
-  tail -20 "$log"
-  count_result "unit_tests (exit $status)" 1
-fi
+# Unit tests: one count for each doctest case. The load patterns need only
+# processor time, so they run beside the other cases.
+logs=$(mktemp -d)
+trap 'rm -rf "$log" "$logs"' EXIT
+shards=("-tce=pattern*" "-tc=pattern:*" "-tc=patterns with*"
+  "-tc=*part 1:*" "-tc=*part 2:*" "-tc=*part 3:*")
+for i in "${!shards[@]}"; do
+  {
+    timeout 2400 "$folder/unit_tests" "${shards[$i]}" >"$logs/$i" 2>&1
+    echo "$?" >"$logs/$i.status"
+  } &
+done
+wait
+for i in "${!shards[@]}"; do
+  status=$(cat "$logs/$i.status")
+  grep -E 'ERROR|FATAL|TEST CASE|values:' "$logs/$i" | head -60
+  summary=$(sed 's/\x1b\[[0-9;]*m//g' "$logs/$i" | grep -E 'test cases:' |
+    tail -1)
+  unit_passed=$(sed -nE 's/.*\| +([0-9]+) passed.*/\1/p' <<<"$summary")
+  unit_failed=$(sed -nE 's/.*\| +([0-9]+) failed.*/\1/p' <<<"$summary")
+  passed=$((passed + ${unit_passed:-0}))
+  failed=$((failed + ${unit_failed:-0}))
+  # A shard that matches no case, or that ends early, has failed too.
+  if [ "${unit_passed:-0}" -eq 0 ] ||
+    { [ "$status" -ne 0 ] && [ "${unit_failed:-0}" -eq 0 ]; }; then
+    tail -20 "$logs/$i"
+    count_result "unit_tests ${shards[$i]} (exit $status)" 1
+  fi
+done
 
 # Scenarios: one count for each file.
 if [ -x "$folder/scenario_runner" ]; then
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 namespace pimentohall::testing {
 namespace {
@@ -49,6 +51,7 @@
       at->id = "u" + std::to_string(i);
       at->queue.SetOrder(options.order);
       at->is_updated = IsUpdated(i);
+      DrawStalls(seed * 1000 + i, at.get());
       const double cold = at->what->cold_until_s;
       if (cold > 0) {
         at->gate.SetCold(kStart + Ms(cold * 1000), at->what->cold_per_s,
@@ -58,6 +61,7 @@
     }
     for (int i = 0; i < pattern.daemons; ++i) {
       pickers_.emplace_back(seed * 100 + static_cast<std::uint64_t>(i) + 1);
+      pickers_.back().SetCostRouting(UsesReports());
     }
     budgets_.resize(pickers_.size());
     pacers_.resize(pickers_.size());
@@ -131,6 +135,12 @@
     sched::call_tree tree;
     sched::nested_reserve reserve;
     sched::need_reporter reports;
+    sched::upstream_monitor monitor;
+    std::vector<std::pair<double, double>> stalls;  // Start and end, in ms.
+    // Inside an upstream with a queue of its own: runs by call, and calls that
+    // wait. The egress may have cancelled them.
+    std::set<std::uint64_t> inside_running;
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> inside_waiting;
     bool is_updated = false;  // The daemon beside it.
     instant link_free_at{};
     std::map<std::uint64_t, call_ptr> waiting;
@@ -255,7 +265,7 @@
     upstream* const at = which->at;
     at->queue.Remove(which->id);
     at->waiting.erase(which->id);
-    if (EndRun(which, at)) Pump(at);
+    if (EndRun(which, at)) Abandon(at);
   }
 
   // True if the call was running.
@@ -370,6 +380,11 @@
     load.slots = at.what->slots;
     load.backlog_ms = ToMs(at.queue.Work() + RunningWork(at)) / at.what->slots;
     load.slowness = at.slowness;
+    if (UsesReports()) {
+      load.running += at.monitor.HiddenCalls(now_);
+      load.slowness = at.monitor.Speed(now_);
+      load.pace = at.monitor.Pace(now_);
+    }
     load.rank_limit = at.queue.RankLimit();
     return load;
   }
@@ -515,22 +530,28 @@
     const duration typical = Typical(kind);
     if (pattern_.uses_cost_routing) {
       const auto cost = at.costs.Predict(KeyOf(kind), typical, now_);
-      return {Ms(ToMs(cost.mean) * at.usual_slowness.Value()),
-              Ms(ToMs(cost.high) * at.usual_slowness.Value())};
+      return {Ms(ToMs(cost.mean) * TimeFactor(at)),
+              Ms(ToMs(cost.high) * TimeFactor(at))};
     }
     const duration time =
         at.times.Expect(RouteOf(kind), Ms(ToMs(typical) * at.slowness), now_);
     return {time, time};
   }
 
+  // Time of work at the upstream / usual time, as its egress believes.
+  double TimeFactor(const upstream& at) const {
+    return UsesReports() ? at.monitor.Speed(now_) * at.monitor.Pace(now_)
+                         : at.usual_slowness.Value();
+  }
+
   // As the egress.
   duration Remaining(const upstream& at, const call& which) const {
     const duration age = now_ - which.started;
     if (pattern_.uses_cost_routing) {
-      const duration left = at.costs.Remaining(
-          KeyOf(*which.kind), Ms(ToMs(age) / at.usual_slowness.Value()),
-          Typical(*which.kind), now_);
-      return Ms(ToMs(left) * at.usual_slowness.Value());
+      const duration left =
+          at.costs.Remaining(KeyOf(*which.kind), Ms(ToMs(age) / TimeFactor(at)),
+                             Typical(*which.kind), now_);
+      return Ms(ToMs(left) * TimeFactor(at));
     }
     const duration expected = Expected(at, *which.kind).mean;
     return std::max(expected / 4, expected - age);
@@ -560,13 +581,27 @@
     return item;
   }
 
+  // Work inside the upstream that its egress doesn't count as running.
+  duration HiddenWork(const upstream& at) const {
+    if (!UsesReports()) return duration{0};
+    const duration usual =
+        at.queue.Size() > 0
+            ? at.queue.Work() / static_cast<duration::rep>(at.queue.Size())
+            : Ms(100);
+    return at.monitor.HiddenWork(usual, at.what->slots, now_);
+  }
+
   // 0: a slot is free.
   duration WorkAhead(const upstream& at, bool nested) const {
-    return HasSlot(at, nested) ? duration{0} : RunningWork(at);
+    if (HasSlot(at, nested)) return duration{0};
+    return RunningWork(at) + HiddenWork(at);
   }
 
   bool HasSlot(const upstream& at, bool nested) const {
-    if (static_cast<int>(at.running.size()) >= at.what->slots) return false;
+    const int slots = UsesReports()
+                          ? at.monitor.UsableSlots(at.what->slots, now_)
+                          : at.what->slots;
+    if (static_cast<int>(at.running.size()) >= slots) return false;
     if (nested || !at.is_updated) return true;
     const auto callers = std::count_if(
         at.running.begin(), at.running.end(),
@@ -619,7 +654,7 @@
 
   void Pump(upstream* at) {
     while (CanStartOne(*at)) {
-        if (!at->gate.Take(now_)) break;
+      if (!at->gate.Take(now_)) break;
       const auto next = HasSlot(*at, false)
                             ? at->queue.Pop(now_, RunningWork(*at))
                             : at->queue.PopNested(now_);
@@ -633,7 +668,8 @@
   }
 
   void DropOvertaken(upstream* at) {
-    Drop(at, at->queue.DropOvertaken(at->what->slots, RunningWork(*at), now_));
+    Drop(at, at->queue.DropOvertaken(at->what->slots,
+                                     RunningWork(*at) + HiddenWork(*at), now_));
   }
 
   void Drop(upstream* at, const std::vector<mesh::work_item>& items) {
@@ -649,6 +685,10 @@
   // What an egress does in each of its ticks.
   void Tick() {
     for (const auto& each : upstreams_) {
+      if (UsesReports() && each->queue.Size() > 0) {
+        if (!HasSlot(*each, false)) ReportLoad(each.get());
+        Pump(each.get());
+      }
       DropOvertaken(each.get());
       each->queue.UpdateRankLimit(each->what->slots, RunningWork(*each), now_);
     }
@@ -667,7 +707,129 @@
     });
   }
 
+  // -------------------------------------------------------------------------
+  // The upstream.
+
+  bool UsesReports() const {
+    return pattern_.uses_cost_routing &&
+           pattern_.reports != load_reports::kNone;
+  }
+
+  // From a generator of their own, so that they change nothing else.
+  void DrawStalls(std::uint64_t seed, upstream* at) const {
+    if (at->what->stall_gap_ms <= 0) return;
+    std::mt19937_64 random(seed);
+    std::exponential_distribution<double> gap(1 / at->what->stall_gap_ms);
+    double end = 0;
+    while (end < pattern_.length_s * 1000) {
+      const double start = end + gap(random);
+      end = start + at->what->stall_ms;
+      at->stalls.emplace_back(start, end);
+    }
+  }
+
+  double PaceOf(const upstream& at) const {
+    const double now_ms = AtS() * 1000;
+    for (const auto& [start, end] : at.stalls) {
+      if (start <= now_ms && now_ms < end) return at.what->stall_factor;
+    }
+    return 1;
+  }
+
+  // Time that work takes if it starts now.
+  double TimeOfWork(double work_ms, const upstream& at) const {
+    double now_ms = AtS() * 1000;
+    const double begin_ms = now_ms;
+    for (const auto& [start, end] : at.stalls) {
+      if (end <= now_ms) continue;
+      const double before = std::max(0.0, start - now_ms);
+      if (work_ms <= before) break;
+      work_ms -= before;
+      now_ms += before;
+      const double in_stall = (end - now_ms) / at.what->stall_factor;
+      if (work_ms <= in_stall) {
+        return now_ms + work_ms * at.what->stall_factor - begin_ms;
+      }
+      work_ms -= in_stall;
+      now_ms = end;
+    }
+    return now_ms + work_ms - begin_ms;
+  }
+
+  // With an answer or a health check.
+  void ReportLoad(upstream* at) {
+    if (!UsesReports() || AtS() >= pattern_.reports_until_s) return;
+    constexpr double kPercent = 100;
+    constexpr int kManyCalls = 1000;
+    const bool has_queue = at->what->own_queue > 0;
+    sched::upstream_report report;
+    report.running = static_cast<int>(has_queue ? at->inside_running.size()
+                                                : at->running.size());
+    report.waiting = static_cast<int>(at->inside_waiting.size());
+    report.slots = at->what->slots;
+    report.pace_percent = static_cast<int>(PaceOf(*at) * kPercent);
+    switch (pattern_.reports) {
+      case load_reports::kNonsense:
+        report = {-1, 2'000'000'000, -7, 100'000};
+        break;
+      case load_reports::kAlwaysWaiting:
+        report.waiting = kManyCalls;
+        break;
+      case load_reports::kAlwaysSlow:
+        if (at->id == "u0" || at->id == "u4") report.pace_percent = 250;
+        break;
+      case load_reports::kNone:
+      case load_reports::kTrue:
+        break;
+    }
+    at->monitor.OnReport(report, static_cast<int>(at->running.size()), now_);
+  }
+
+  // The egress cancelled a running call and asks for the upstream's load.
+  void Abandon(upstream* at) {
+    if (UsesReports()) {
+      at->monitor.OnAbandoned(now_);
+      At(kLinkMs, [this, at] {
+        ReportLoad(at);
+        Pump(at);
+      });
+    }
+    Pump(at);
+  }
+
+  void StartInside(upstream* at) {
+    while (static_cast<int>(at->inside_running.size()) < at->what->slots &&
+           !at->inside_waiting.empty()) {
+      const auto next = std::move(at->inside_waiting.front());
+      at->inside_waiting.pop_front();
+      at->inside_running.insert(next.first);
+      next.second();
+    }
+  }
+
+  void EndInside(upstream* at, std::uint64_t id) {
+    if (at->inside_running.erase(id) > 0) StartInside(at);
+  }
+
+  // False: the upstream's own queue is full, and it sheds the call.
+  bool TakeInside(upstream* at, std::uint64_t id,
+                  const std::function<void()>& run) {
+    if (at->what->own_queue <= 0) {
+      run();
+      return true;
+    }
+    if (static_cast<int>(at->inside_running.size()) >= at->what->slots &&
+        static_cast<int>(at->inside_waiting.size()) >= at->what->own_queue) {
+      return false;
+    }
+    at->inside_waiting.emplace_back(id, run);
+    StartInside(at);
+    return true;
+  }
+
   void StartCall(const call_ptr& which, upstream* at) {
+    ++started_;
+    at->monitor.OnStarted(at->what->slots, now_);
     which->started = now_;
     at->running[which->id] = which;
     at->tree.OnRunStarted(which->id, which->kind->name, now_);
@@ -680,17 +842,30 @@
     const bool nests = !kind.nested.empty() && Uniform() < kind.nested_share;
     const int times = nests ? kind.nested_times : 0;
     const std::uint64_t id = which->id;
-    At(work, [this, which, at, times, id] { Nest(which, at, times, id); });
+    const bool taken = TakeInside(at, id, [this, which, at, times, id, work] {
+      At(TimeOfWork(work, *at),
+         [this, which, at, times, id] { Nest(which, at, times, id); });
+    });
+    if (!taken) {
+      ++shed_;
+      ReportLoad(at);
+      EndRun(which, at);
+      Refused(which, at, Ms(300));
+      return;
+    }
     At(ToMs(which->deadline - now_), [this, which, at, id] {
       if (which->id != id || !EndRun(which, at)) return;
       Unanswered(which, false);
-      Pump(at);
+      Abandon(at);
     });
   }
 
   // Makes the call's own calls one after the other, then ends it.
   void Nest(const call_ptr& which, upstream* at, int times, std::uint64_t id) {
-    if (at->running.count(id) == 0) return;
+    if (at->running.count(id) == 0) {
+      EndInside(at, id);
+      return;
+    }
     if (times == 0) {
       EndCall(which, at, Uniform() >= at->what->fails);
       return;
@@ -717,12 +892,16 @@
         Nest(which, at, times - 1, id);
       } else if (at->running.count(id) > 0) {
         EndCall(which, at, false);
+      } else {
+        EndInside(at, id);
       }
     };
     Attempt(nested);
   }
 
   void EndCall(const call_ptr& which, upstream* at, bool answered) {
+    EndInside(at, which->id);
+    ReportLoad(at);
     EndRun(which, at);
     const duration took = now_ - which->started;
     auto& picker = pickers_[static_cast<std::size_t>(which->daemon)];
@@ -752,7 +931,11 @@
   void ObserveCost(const call& which, upstream* at, duration took) {
     if (!pattern_.uses_cost_routing) return;
     const sched::cost_key key = KeyOf(*which.kind);
-    at->costs.Observe(key, Ms(ToMs(took) / at->usual_slowness.Value()), now_);
+    const double factor = TimeFactor(*at);
+    if (UsesReports()) {
+      at->monitor.OnRun(took, Typical(*which.kind), now_);
+    }
+    at->costs.Observe(key, Ms(ToMs(took) / factor), now_);
     at->usual_slowness.Observe(ToMs(took) / ToMs(Typical(*which.kind)));
     sent_costs_[static_cast<std::size_t>(which.daemon)].Observe(
         key, Ms(ToMs(took) / at->slowness), now_);
@@ -804,6 +987,7 @@
         enqueued_ > 0 ? static_cast<double>(in_vain_) / enqueued_ : 0;
     result_.need_reports =
         answers_ > 0 ? static_cast<double>(need_reports_) / answers_ : 0;
+    result_.shed = started_ > 0 ? static_cast<double>(shed_) / started_ : 0;
     result_.far_bytes = wanted_bytes_ > 0 ? far_bytes_ / wanted_bytes_ : 0;
     return result_;
   }
@@ -830,6 +1014,8 @@
   double refused_wait_ms_ = 0;
   int enqueued_ = 0;  // Attempts that came to a queue.
   int in_vain_ = 0;
+  int started_ = 0;  // Calls sent to an upstream,
+  int shed_ = 0;     // and those of them that it shed.
   int refused_count_ = 0;
   int answers_ = 0;
   int need_reports_ = 0;
--- a/testing/load_model/model.h
+++ b/testing/load_model/model.h
@@ -54,6 +54,24 @@
   // limited.
   double link_bytes_per_ms = 0;
   int zone = -1;  // -1: by its position.
+  // Its machine is busy now and then: work takes `stall_factor` times as long
+  // for `stall_ms`, with this mean time between the stalls. 0: never.
+  double stall_gap_ms = 0;
+  double stall_ms = 300;
+  double stall_factor = 2.5;
+  // Calls that it queues itself. Above that it sheds calls, and it runs
+  // cancelled ones to their end. 0: it is never sent more than its slots, and
+  // the work of cancelled calls ends.
+  int own_queue = 0;
+};
+
+// What upstreams report about their load.
+enum class load_reports {
+  kNone,
+  kTrue,
+  kNonsense,       // Negative and huge figures.
+  kAlwaysWaiting,  // Always 1,000 calls that wait.
+  kAlwaysSlow,     // Two upstreams always report a pace of 250.
 };
 
 struct load_pattern {
@@ -83,6 +101,8 @@
   double cold_after_loss_per_s = 0;
   double length_s = 30;
   bool uses_cost_routing = false;
+  load_reports reports = load_reports::kNone;
+  double reports_until_s = 1e9;  // No reports from then on.
   // Daemons learn which calls runs make, refuse calls whose callees are full,
   // reserve slots for nested calls, and refuse those only as a last resort.
   bool nested_control = false;
@@ -112,6 +132,7 @@
   double far_bytes = 0;
   // Reports of needs between daemons, as a share of the answers to calls.
   double need_reports = 0;
+  double shed = 0;  // Share of the started calls that an upstream shed.
   std::map<std::string, class_result> classes;
   // Earned / owed by second of the first attempt.
   std::vector<double> worth_by_s;
@@ -124,6 +145,7 @@
   bool gate = false;             // Ingresses refuse by the rank limits.
   bool pacer = false;            // Refused callers return one after the other.
   bool cost = false;             // With cost routing.
+  bool reports = false;          // With cost routing by load reports.
 };
 // As a daemon with the setting `overload_control`.
 load_options OverloadControl();
@@ -157,6 +179,9 @@
 // All daemons and upstreams lose power at 10 s and are back from then on.
 inline constexpr double kFleetBackS = 12;
 load_pattern FleetReturnPattern();
+load_pattern UnequalSpeedsPattern();
+load_pattern ShortStallsPattern();
+load_pattern CancelledRunsPattern();
 load_pattern LookAlikesPattern();
 load_pattern TwoKindsPattern();
 // One service gets twice its capacity, in three ranks.
--- a/testing/load_model/patterns.cc
+++ b/testing/load_model/patterns.cc
@@ -333,6 +333,48 @@
   return pattern;
 }
 
+// At a load at which the two fast upstreams of a service don't suffice.
+load_pattern UnequalSpeedsPattern() {
+  load_pattern pattern =
+      Base("speeds 0.7, 0.7, 1.6", "calls are shared out by speed");
+  pattern.rate = [](const load_class&, double) { return 1.8; };
+  return pattern;
+}
+
+load_pattern ShortStallsPattern() {
+  load_pattern pattern =
+      Base("short stalls", "work goes round an upstream while it is slow");
+  for (load_upstream& each : pattern.upstreams) each.stall_gap_ms = 900;
+  pattern.rate = [](const load_class&, double) { return 1.5; };
+  return pattern;
+}
+
+// Too little capacity, and callers that wait for less time than many runs take.
+load_pattern CancelledRunsPattern() {
+  load_pattern pattern;
+  pattern.name = "cancelled runs go on";
+  pattern.answers = "an upstream isn't sent more than it can start";
+  load_class look{"look", "desk", 144, 120, 0.8,      400, 1500, 300,
+                  1,      0.1,    0,   1,   "nested", 2,   0.7};
+  load_class lodge{"lodge", "office", 60, 160, 0.5, 500, 2000, 1000,
+                   2,       0.1,      1,  1,   "",  0,   0};
+  load_class nested{"nested", "office", 0, 30, 0.5, 120, 400, 400,
+                    0,        0,        0, 0,  "",  0,   0};
+  pattern.classes = {look, lodge, nested};
+  for (const char* service : {"desk", "office"}) {
+    for (const double slowness : {0.7, 0.7, 1.6}) {
+      load_upstream one;
+      one.service = service;
+      one.slowness = slowness;
+      one.slots = 6;
+      one.own_queue = 24;
+      one.stall_gap_ms = 900;
+      pattern.upstreams.push_back(one);
+    }
+  }
+  return pattern;
+}
+
 load_pattern LookAlikesPattern() {
   load_pattern pattern = MixedRoutePattern("/");
   pattern.name = "look-alikes of unlike cost";
@@ -379,7 +421,8 @@
       WideFleetPattern(),   UploadsPattern(),        LoadedZonePattern(),
       LostZonePattern(),    ShortCalleePattern(),    LastingOverloadPattern(),
       AllComeBackPattern(), ThreeRanksPattern(),     LookAlikesPattern(),
-      TwoKindsPattern(),    FleetReturnPattern()};
+      TwoKindsPattern(),    FleetReturnPattern(),    UnequalSpeedsPattern(),
+      ShortStallsPattern(), CancelledRunsPattern()};
 }
 
 }  // namespace pimentohall::testing
--- a/testing/unit/load_pattern_test.cc
+++ b/testing/unit/load_pattern_test.cc
@@ -22,6 +22,7 @@
     mean.refused_wait_ms += run.refused_wait_ms / seeds;
     mean.far_bytes += run.far_bytes / seeds;
     mean.need_reports += run.need_reports / seeds;
+    mean.shed += run.shed / seeds;
     for (const auto& [name, counts] : run.classes) {
       class_result& sum = mean.classes[name];
       sum.asked += counts.asked;
@@ -180,6 +181,69 @@
   }
 }
 
+constexpr int kComparedSeeds = 8;
+
+load_result MeanWithReports(load_pattern pattern) {
+  pattern.uses_cost_routing = true;
+  pattern.reports = load_reports::kTrue;
+  return Mean(pattern, {}, kComparedSeeds);
+}
+
+// An upstream of speed 1.6 must not get as many calls as those of 0.7.
+TEST_CASE("pattern: speeds 0.7, 0.7, 1.6") {
+  const load_result before = Mean(UnequalSpeedsPattern(), {}, kComparedSeeds);
+  const load_result after = MeanWithReports(UnequalSpeedsPattern());
+  CHECK(after.worth >= 0.97);
+  CHECK(after.worth >= before.worth - 0.005);
+}
+
+// Calls were sent to upstreams whose machine was busy at the moment.
+TEST_CASE("pattern: short stalls") {
+  const load_result before = Mean(ShortStallsPattern(), {}, kComparedSeeds);
+  const load_result after = MeanWithReports(ShortStallsPattern());
+  CHECK(after.worth >= 0.95);
+  CHECK(after.worth >= before.worth + 0.005);
+  CHECK(after.served >= 0.995);
+}
+
+// An upstream was sent calls in place of cancelled ones that it still ran.
+TEST_CASE("pattern: cancelled runs go on") {
+  const load_result before = Mean(CancelledRunsPattern(), {}, kComparedSeeds);
+  const load_result after = MeanWithReports(CancelledRunsPattern());
+  CHECK(before.shed > 0.05);
+  CHECK(after.shed <= 0.001);
+  CHECK(after.worth >= before.worth + 0.03);
+}
+
+// Reports that are nonsense, that are wrong, or that stop may cost at most 0.02
+// of the served share. Counts that are always high cost more (KNOWN-RED.txt).
+TEST_CASE("patterns with load reports that can't be relied on") {
+  constexpr double kMaxLoss = 0.02;
+  constexpr double kStopS = 10;
+  struct row {
+    const char* name;
+    load_reports reports;
+    double until_s;
+  };
+  constexpr row kRows[] = {
+      {"nonsense", load_reports::kNonsense, 1e9},
+      {"always slow", load_reports::kAlwaysSlow, 1e9},
+      {"reports stop", load_reports::kTrue, kStopS},
+  };
+  for (load_pattern pattern :
+       {CalmPattern(), BurstPattern(2), ShortStallsPattern()}) {
+    CAPTURE(pattern.name);
+    const double before = Mean(pattern).served;
+    pattern.uses_cost_routing = true;
+    for (const row& each : kRows) {
+      CAPTURE(each.name);
+      pattern.reports = each.reports;
+      pattern.reports_until_s = each.until_s;
+      CHECK(Mean(pattern).served >= before - kMaxLoss);
+    }
+  }
+}
+
 // Every call of a service that was short for long ended just before or just
 // after its aim (customer 1's high-load days).
 TEST_CASE("pattern: lasting overload of one service") {
@@ -233,18 +297,33 @@
   CheckNoClassStarves(result);
 }
 
-// Where overload control isn't needed, it must not cost more than this.
-TEST_CASE("patterns: overload control is no worse on any") {
+// Where overload control isn't needed, it must not cost more than this. The
+// patterns are split into parts that scripts/run_tests.sh runs side by side.
+void CheckOverloadControl(std::size_t part) {
   constexpr double kMaxLoss = 0.02;
   // Some collapses show in one seed of eight.
   constexpr int kSeeds = 8;
-  for (const load_pattern& pattern : AllPatterns()) {
-    CAPTURE(pattern.name);
-    CHECK(Mean(pattern, OverloadControl(), kSeeds).worth >=
-          Mean(pattern, {}, kSeeds).worth - kMaxLoss);
+  constexpr std::size_t kParts = 3;
+  const std::vector<load_pattern> patterns = AllPatterns();
+  for (std::size_t i = part; i < patterns.size(); i += kParts) {
+    CAPTURE(patterns[i].name);
+    CHECK(Mean(patterns[i], OverloadControl(), kSeeds).worth >=
+          Mean(patterns[i], {}, kSeeds).worth - kMaxLoss);
   }
 }
 
+TEST_CASE("patterns, part 1: overload control is no worse on any") {
+  CheckOverloadControl(0);
+}
+
+TEST_CASE("patterns, part 2: overload control is no worse on any") {
+  CheckOverloadControl(1);
+}
+
+TEST_CASE("patterns, part 3: overload control is no worse on any") {
+  CheckOverloadControl(2);
+}
+
 // Before, 4% to 6% of the calls failed after they had run, since a nested call
 // was refused or late.
 TEST_CASE("pattern: nested calls where their service is short") {
