Announce a longer period of far news before the old one ends

Cause: found in review. Receivers wait 2.4 times the period that the last news announced. When a daemon stopped being a reader, or a configuration dropped the last rate limit, its next far news came after the new, longer period: with 69 daemons 3.1 s after an announcement of 0.4 s, so other zones took it for lost for about 2 s.

Change: far_news_schedule keeps the period that was announced last; the next news are due at the shorter of both. Its test is new.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -294,6 +294,22 @@
 // are sent less often.
 news_periods NewsPeriods(std::size_t fleet_size, bool needs_counts);
 
+// When a daemon's next news to other zones are due. Receivers wait for news in
+// proportion to the period that the last ones announced, so a longer period is
+// announced at the end of a shorter one.
+class far_news_schedule {
+ public:
+  // Far news that are nearly due are sent together with near ones.
+  bool IsDue(const news_periods& periods, instant now) const;
+  // News were sent that announced this period.
+  void OnSent(duration far_period, instant now);
+  instant SentAt() const { return sent_at_; }
+
+ private:
+  instant sent_at_{};
+  duration announced_{0};
+};
+
 // Tracks which daemons are alive, by the news that they send.
 class peer_table {
  public:
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -295,26 +295,23 @@
   // `to_all` is set.
   void SendNews(bool to_all) {
     const instant now = fleet_.loop.Now();
-    const mesh::news_periods periods = NewsPeriods();
-    const duration near_period = periods.near;
+    mesh::news_periods periods = NewsPeriods();
     // Readers send to all with the near period, as followers wait for their
     // reports. There are few readers.
-    const duration far_period = mirror_.IsReading() ? near_period : periods.far;
-    // Far news that are nearly due are sent together with the near ones.
-    const bool far_news_due =
-        to_all || now - far_news_at_ >= far_period - near_period / 2;
+    if (mirror_.IsReading()) periods.far = periods.near;
+    const bool far_news_due = to_all || far_news_.IsDue(periods, now);
     // The newest counts of the previous news are repeated in case that datagram
     // was lost. Older counts are corrected by the tenant's next call.
-    const instant near_since = near_news_at_ - near_period;
-    const instant far_since = far_news_at_ - near_period;
+    const instant near_since = near_news_at_ - periods.near;
+    const instant far_since = far_news_.SentAt() - periods.near;
     near_news_at_ = now;
-    if (far_news_due) far_news_at_ = now;
+    if (far_news_due) far_news_.OnSent(periods.far, now);
     for (const std::string& address : PeerAddresses()) {
       const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
       if (!is_near && !far_news_due) continue;
       const auto* const peer = fleet_.peers.Find(address);
-      news_.Send(address, is_near ? NewsFor(peer, near_period, near_since)
-                                  : NewsFor(peer, far_period, far_since));
+      news_.Send(address, is_near ? NewsFor(peer, periods.near, near_since)
+                                  : NewsFor(peer, periods.far, far_since));
     }
   }
 
@@ -571,7 +568,7 @@
   std::uint64_t news_sequence_ = 0;
   bool first_news_sent_ = false;
   instant near_news_at_{};
-  instant far_news_at_{};
+  mesh::far_news_schedule far_news_;
   std::set<std::string> lost_peers_;
   instant stop_began_{};
   instant handed_over_at_{};
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -63,6 +63,23 @@
   }
 }
 
+// A daemon whose period grows must announce that before the old period ends;
+// otherwise daemons of other zones take it for lost.
+TEST_CASE("a longer period of far news is announced in time") {
+  constexpr news_periods kShort = {milliseconds(400), milliseconds(400)};
+  constexpr news_periods kLong = {milliseconds(400), milliseconds(3300)};
+  far_news_schedule schedule;
+  CHECK(schedule.IsDue(kLong, kStart));
+  schedule.OnSent(kShort.far, kStart);
+  CHECK_FALSE(schedule.IsDue(kLong, kStart + milliseconds(100)));
+  CHECK(schedule.IsDue(kLong, kStart + milliseconds(400)));
+  const instant announced = kStart + milliseconds(400);
+  schedule.OnSent(kLong.far, announced);
+  CHECK_FALSE(schedule.IsDue(kLong, announced + milliseconds(2000)));
+  CHECK(schedule.IsDue(kLong, announced + milliseconds(3300)));
+  CHECK(schedule.IsDue(kShort, announced + milliseconds(400)));
+}
+
 TEST_CASE("the route with the longest matching prefix of the host is used") {
   const auto config = Example();
   struct route_case {
