Correct reasons, names and pages of the traffic metrics after a review

Change: the end of a connection keeps the reason that its answer gave; the pages say what is counted; run_tests.sh fails if a case is in no shard.

--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -77,9 +77,9 @@
 // Connections that a daemon may open to other daemons.
 std::size_t MaxLinks(const node_settings& settings);
 // Of these, connections for calls to one daemon; and further ones that ask it
-// for the outcome of attempts. Together they stay below what a daemon accepts
-// from one address: it closes what exceeds that, and with it calls that were
-// sent.
+// for the outcome of attempts. Together they stay below what a daemon with the
+// same settings accepts from one address: it closes connections above its
+// limit, which loses the calls on them.
 int MaxLinksPerPeer(const node_settings& settings);
 int MaxQueryLinksPerPeer(const node_settings& settings);
 
--- a/include/pimentohall/stream.h
+++ b/include/pimentohall/stream.h
@@ -533,7 +533,7 @@
   std::size_t UnsentBytes() const;
   // True if a byte of the request was written to the socket.
   bool WasSent() const;
-  // The caller's mark, for `client_pool::on_released`.
+  // A value chosen by the caller, for `client_pool::on_released`.
   void SetTag(int tag) { tag_ = tag; }
   int Tag() const { return tag_; }
 
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -26,6 +26,10 @@
 # processor time, so they run beside the other cases.
 logs=$(mktemp -d)
 trap 'rm -rf "$log" "$logs"' EXIT
+counted_cases() {
+  "$folder/unit_tests" "$@" --count |
+    sed -nE 's/.*passing the current filters: ([0-9]+).*/\1/p'
+}
 shards=("-tce=pattern*" "-tc=pattern:*" "-tc=patterns with*"
   "-tc=*part 1:*" "-tc=*part 2:*" "-tc=*part 3:*")
 for i in "${!shards[@]}"; do
@@ -35,6 +39,13 @@
   } &
 done
 wait
+sharded=0
+for shard in "${shards[@]}"; do
+  sharded=$((sharded + $(counted_cases "$shard")))
+done
+if [ "$sharded" -ne "$(counted_cases)" ]; then
+  count_result "unit_tests: $sharded of $(counted_cases) cases are in a shard" 1
+fi
 for i in "${!shards[@]}"; do
   status=$(cat "$logs/$i.status")
   grep -E 'ERROR|FATAL|TEST CASE|values:' "$logs/$i" | head -60
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -25,14 +25,15 @@
 // A link between daemons counts as failed after this time of silence.
 constexpr duration kLinkSilenceTimeout = milliseconds(600);
 constexpr duration kLinkConnectTimeout = milliseconds(400);
-// Marks of attempts, for the metrics of their traffic.
-constexpr int kNestedTag = 1;
-constexpr int kFarTag = 2;
 constexpr duration kLinkIdleTimeout = std::chrono::seconds(20);
 // Until the first configuration is in force.
 constexpr duration kIdleTimeoutAtStart = std::chrono::seconds(60);
 constexpr duration kHeadTimeoutAtStart = std::chrono::seconds(10);
 
+// Tags of attempts, for the metrics of their traffic.
+constexpr int kNestedTag = 1;
+constexpr int kFarTag = 2;
+
 }  // namespace
 
 std::string MsText(duration time) {
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -82,8 +82,8 @@
   bool CantEndBeforeStop(const call& call, instant now) const;
   void Forward(const call_ptr& call, const std::string& upstream,
                const std::string& address);
-  // Bytes of the request's body, as far as they are known.
   void CountTraffic(int tag, const stream::request_traffic& traffic);
+  // Bytes of the request's body, as far as they are known.
   static std::size_t RequestBytes(const call& call);
   void SendBody(const call_ptr& call);
   void PredictCost(call* call, instant now) const;
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -38,16 +38,17 @@
   // Records the Retry-After that the pacer chose.
   void ObserveRetryAfter(core::duration wait);
   void CountNews(bool sent, std::size_t bytes);
-  // What daemons exchange with one another.
+  // Kinds of messages between daemons.
   enum class peer_traffic {
     kCall,          // Calls of callers, and their answers.
-    kNestedCall,    // Calls of upstreams' runs.
+    kNestedCall,    // Calls of upstreams' runs, and their answers.
     kStatus,        // News.
     kItems,         // Copies and patches of the source's items.
-    kAttemptQuery,  // Questions about the outcome of attempts.
+    kAttemptQuery,  // Queries for the outcome of attempts.
   };
-  // Bytes of messages, counted by the daemon that opened the connection; both
-  // sides count news. `is_far`: to or from another zone.
+  // Heads and bodies of calls, counted by the daemon that opened the link;
+  // datagrams of news, counted by both sides; bodies of received items; and
+  // targets of queries. `is_far`: to or from another zone.
   void CountPeerBytes(peer_traffic kind, bool is_far, bool sent,
                       std::size_t bytes);
   // A request on a link to another daemon.
--- a/src/stream/client_pool.cc
+++ b/src/stream/client_pool.cc
@@ -187,7 +187,10 @@
   conn->on_closed = [this, raw](end_reason reason) {
     const bool sent = raw->conn_->SentBytes() > 0;
     const bool bad = reason == end_reason::kBadBytes;
-    raw->end_ = bad ? connection_end::kBadAnswer : connection_end::kFailed;
+    const bool had_answer = raw->answer_ended_ || raw->skipping_;
+    if (!had_answer) {
+      raw->end_ = bad ? connection_end::kBadAnswer : connection_end::kFailed;
+    }
     Fail(raw, !sent ? failure::kNotSent
               : bad ? failure::kBadAnswer
                     : failure::kLost);
