Treat a stream that ends after a socket error as cut

Callers saw: the part of an answer that had arrived before its upstream reset the connection, as a complete answer (MIXED). The answer had no length, and the request's body was still being sent.

Cause: a write that fails takes the socket's error, so the next read returns 0, as at the end of a stream. If both happen in one turn of the loop, libevent reports BEV_EVENT_ERROR and BEV_EVENT_EOF together, and OnEvent looked at the latter only: it ended the body without a length as whole.

Change: an end of the stream that comes with an error doesn't end a body. Only the peer's own FIN, which a read finds without an error, does. An error that comes first already closed the connection as reset.

--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -124,10 +124,12 @@
   std::size_t ParseBytes(const char* bytes, std::size_t size) {
     return http_parser_execute(&state_, &Settings(), bytes, size);
   }
-  // Handles the close by the peer. Returns true if it ends a message properly
-  // or falls between two messages.
-  bool ParseEof() {
+  // Handles the end of the stream. `by_peer`: the peer sent it, so it also ends
+  // a body without a length. Returns true if it ends a message properly or
+  // falls between two messages.
+  bool ParseEof(bool by_peer) {
     if (!in_message_) return true;
+    if (!by_peer) return false;
     ParseBytes(nullptr, 0);
     return !in_message_;
   }
@@ -588,7 +590,11 @@
     conn->reading_ = true;
     conn->Parse();
     if (!conn->IsOpen()) return;
-    const bool whole = conn->drops_received_ || conn->parser_->ParseEof();
+    // A failed write takes the socket's error: the next read then finds the end
+    // of a stream that the peer reset. libevent reports both at once.
+    const bool by_peer = (events & BEV_EVENT_ERROR) == 0;
+    const bool whole =
+        conn->drops_received_ || conn->parser_->ParseEof(by_peer);
     if (!conn->IsOpen()) return;
     conn->ReportEnd();
     if (!conn->IsOpen()) return;
