Reject answers whose status line is malformed

Cause: http-parser reads a status of any number of digits and any value up to 999, any version and a reason with any byte, and the client side of `connection` checked nothing more.

Change: `syntax_check` reads the bytes ahead of http-parser and compares the status line with the grammar: version 1.x, one blank, three digits from 100 to 599 (RFC 9110, section 15), and no control bytes in the reason. A message that fails is handled as any malformed one: the pool reports kBadAnswer and closes the connection; a daemon answers 502, or sends a call again that may be repeated.

Evidence: the new test sends 29 status lines, each with three bodies. The 14 valid answers of the second test are read as before.

--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -18,6 +18,7 @@
 
 #include "net/socket.h"
 #include "pimentohall/stream.h"
+#include "stream/syntax_check.h"
 
 namespace pimentohall::stream {
 namespace {
@@ -113,16 +114,24 @@
 
 class parser {
  public:
-  parser(connection* owner, connection::side side) : owner_(owner) {
+  parser(connection* owner, connection::side side)
+      : owner_(owner),
+        syntax_(side == connection::side::kServer
+                    ? syntax_check::first_line::kRequest
+                    : syntax_check::first_line::kStatus) {
     http_parser_init(&state_, side == connection::side::kServer
                                   ? HTTP_REQUEST
                                   : HTTP_RESPONSE);
     state_.data = this;
   }
 
-  // Parses bytes up to the end of a message and returns how many were parsed.
+  // Parses bytes up to the end of a message, or less, and returns how many were
+  // parsed.
   std::size_t ParseBytes(const char* bytes, std::size_t size) {
-    return http_parser_execute(&state_, &Settings(), bytes, size);
+    const std::optional<std::size_t> valid = syntax_.Check({bytes, size});
+    is_malformed_ = !valid;
+    if (is_malformed_) return 0;
+    return http_parser_execute(&state_, &Settings(), bytes, *valid);
   }
   // Handles the end of the stream. `by_peer`: the peer sent it, so it also ends
   // a body without a length. Returns true if it ends a message properly or
@@ -135,7 +144,8 @@
   }
   bool IsPaused() const { return HTTP_PARSER_ERRNO(&state_) == HPE_PAUSED; }
   bool HasFailed() const {
-    return HTTP_PARSER_ERRNO(&state_) != HPE_OK && !IsPaused();
+    return is_malformed_ ||
+           (HTTP_PARSER_ERRNO(&state_) != HPE_OK && !IsPaused());
   }
   bool InMessage() const { return in_message_; }
   // Whether a message ended since the last call.
@@ -236,6 +246,7 @@
         return owner_->IsOpen() ? 0 : -1;
       }
     }
+    syntax_.BeginBody();
     head_.close = http_should_keep_alive(&state_) == 0;
     if ((state_.flags & F_CHUNKED) != 0) {
       head_.framing = body_framing::kChunked;
@@ -269,6 +280,7 @@
   }
 
   int OnEnd() {
+    syntax_.BeginHead();
     if (is_interim_) {
       is_interim_ = false;
       return 0;
@@ -281,6 +293,8 @@
   }
 
   connection* const owner_;
+  syntax_check syntax_;
+  bool is_malformed_ = false;
   http_parser state_{};
   message_head head_;
   std::size_t max_head_bytes_ = 0;  // 0: only http-parser's limit.
--- /dev/null
+++ b/src/stream/syntax_check.cc
@@ -0,0 +1,131 @@
+#include "stream/syntax_check.h"
+
+namespace pimentohall::stream {
+namespace {
+
+// Start of a status line: 'N' stands for a digit, and 'C' for one of a status's
+// class (RFC 9110, section 15: 100 to 599).
+constexpr std::string_view kStatusLine = "HTTP/1.N CNN";
+
+constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+// Whether the byte may stand in a reason.
+bool IsText(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
+
+const char* SkipText(const char* at, const char* end) {
+  while (at != end && IsText(*at)) ++at;
+  return at;
+}
+
+bool MatchesStatusLine(std::size_t position, char c) {
+  switch (kStatusLine[position]) {
+    case 'N':
+      return IsDigit(c);
+    case 'C':
+      return c >= '1' && c <= '5';
+    default:
+      return c == kStatusLine[position];
+  }
+}
+
+}  // namespace
+
+void syntax_check::BeginHead() {
+  state_ = &syntax_check::BeforeFirstLine;
+  section_ended_ = false;
+  line_bytes_ = 0;
+}
+
+void syntax_check::BeginBody() {
+  state_ = &syntax_check::InUncheckedBody;
+  section_ended_ = false;
+}
+
+std::optional<std::size_t> syntax_check::Check(std::string_view bytes) {
+  const char* at = bytes.data();
+  const char* const end = at + bytes.size();
+  while (at != end && !section_ended_) {
+    at = (this->*state_)(at, end);
+    if (at == nullptr) return std::nullopt;
+  }
+  return static_cast<std::size_t>(at - bytes.data());
+}
+
+// ---------------------------------------------------------------------------
+// Heads.
+
+// RFC 9112, section 2.2: empty lines before a message are skipped.
+const char* syntax_check::BeforeFirstLine(const char* at, const char*) {
+  if (*at == '\r' || *at == '\n') return at + 1;
+  state_ = kind_ == first_line::kStatus ? &syntax_check::InStatusLine
+                                        : &syntax_check::InLine;
+  return at;
+}
+
+const char* syntax_check::InStatusLine(const char* at, const char* end) {
+  while (at != end && line_bytes_ < kStatusLine.size()) {
+    if (!MatchesStatusLine(line_bytes_, *at)) return nullptr;
+    ++line_bytes_;
+    ++at;
+  }
+  if (at == end) return at;
+  // The reason may be missing.
+  if (*at != ' ' && *at != '\r' && *at != '\n') return nullptr;
+  state_ = &syntax_check::InLine;
+  return at;
+}
+
+const char* syntax_check::InLine(const char* at, const char* end) {
+  at = SkipText(at, end);
+  return at == end ? at : EndLine(at);
+}
+
+// RFC 9112, section 2.2: a line may end with an LF alone.
+const char* syntax_check::EndLine(const char* at) {
+  if (*at == '\r') {
+    state_ = &syntax_check::AtLineFeed;
+    return at + 1;
+  }
+  return AtLineFeed(at, at + 1);
+}
+
+const char* syntax_check::AtLineFeed(const char* at, const char*) {
+  if (*at != '\n') return nullptr;
+  state_ = &syntax_check::AtFieldStart;
+  return at + 1;
+}
+
+const char* syntax_check::AtFieldStart(const char* at, const char* end) {
+  if (*at == '\r') {
+    state_ = &syntax_check::AtLastLineFeed;
+    return at + 1;
+  }
+  if (*at == '\n') return AtLastLineFeed(at, end);
+  state_ = &syntax_check::InField;
+  return at;
+}
+
+const char* syntax_check::AtLastLineFeed(const char* at, const char*) {
+  if (*at != '\n') return nullptr;
+  section_ended_ = true;
+  return at + 1;
+}
+
+const char* syntax_check::InField(const char* at, const char* end) {
+  while (at != end && *at != '\n') ++at;
+  if (at == end) return at;
+  state_ = &syntax_check::AtFieldStart;
+  return at + 1;
+}
+
+// ---------------------------------------------------------------------------
+// Bodies.
+
+const char* syntax_check::InUncheckedBody(const char*, const char* end) {
+  return end;
+}
+
+}  // namespace pimentohall::stream
--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -17,6 +17,7 @@
   bool ended = false;
   std::optional<failure> failed;
   bool IsOver() const { return ended || failed; }
+  bool IsRejected() const { return failed == failure::kBadAnswer; }
   bool IsLost() const { return failed == failure::kLost; }
 };
 
@@ -37,6 +38,23 @@
     return call;
   }
 
+  // Sends a request to an upstream that answers with these bytes and closes.
+  std::shared_ptr<seen_answer> Get(const std::string& answer) {
+    net::raw_server upstream(net);
+    upstream.on_read = [&answer](net::raw_stream* stream) {
+      if (!net::HasWholeHead(*stream)) return;
+      stream->Write(answer);
+      stream->CloseAfterWrite();
+    };
+    message_head head;
+    head.method = "GET";
+    head.target = "/";
+    auto seen = std::make_shared<seen_answer>();
+    Start(upstream.port, head, seen);
+    CHECK(net.RunUntil([&seen] { return seen->IsOver(); }));
+    return seen;
+  }
+
   net::net_harness net;
   client_pool pool{net.loop,
                    net.timers,
@@ -44,6 +62,89 @@
                     std::chrono::seconds(1), 4}};
 };
 
+TEST_CASE("an answer without a valid status is no answer") {
+  const std::string lines[] = {"HTTP/1.1 000 OK",
+                               "HTTP/1.1 0 OK",
+                               "HTTP/1.1 00 OK",
+                               "HTTP/1.1 007 OK",
+                               "HTTP/1.1 7 OK",
+                               "HTTP/1.1 20 OK",
+                               "HTTP/1.1 099 OK",
+                               "HTTP/1.1 0200 OK",
+                               "HTTP/1.1 600 OK",
+                               "HTTP/1.1 999 OK",
+                               "HTTP/1.1 1000 OK",
+                               "HTTP/1.1 2000 OK",
+                               "HTTP/1.1 -200 OK",
+                               "HTTP/1.1 +200 OK",
+                               "HTTP/1.1 2 0 OK",
+                               "HTTP/1.1 2x0 OK",
+                               "HTTP/1.1 200OK",
+                               "HTTP/1.1  200 OK",
+                               "HTTP/1.1 OK",
+                               "HTTP/1.1",
+                               "HTTP/2.0 200 OK",
+                               "HTTP/0.9 200 OK",
+                               "HTTP/3.7 200 OK",
+                               "HTTP/11 200 OK",
+                               "http/1.1 200 OK",
+                               "ICY 200 OK",
+                               "HTTP/1.1\t200 OK",
+                               "HTTP/1.1 200 O\rK",
+                               std::string("HTTP/1.1 200 O\0K", 16)};
+  const std::string bodies[] = {"\r\nContent-Length: 2\r\n\r\nok",
+                                "\r\nContent-Length: 0\r\n\r\n", "\r\n\r\nok"};
+  for (const std::string& line : lines) {
+    for (const std::string& body : bodies) {
+      CAPTURE(line);
+      CAPTURE(body);
+      pool_fixture f;
+      const auto seen = f.Get(line + body);
+      CHECK(seen->status == 0);
+      CHECK(seen->IsRejected());
+    }
+  }
+}
+
+// Answers that must go on to be passed on.
+TEST_CASE("unusual but valid answers are answers") {
+  struct valid_case {
+    std::string bytes;
+    int status;
+    std::string body;
+  };
+  const valid_case cases[] = {
+      {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+      {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+      {"HTTP/1.1 200 Very  Odd \xe9\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+      {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok"},
+      {"HTTP/1.1 299 Odd\r\nContent-Length: 2\r\n\r\nok", 299, "ok"},
+      {"HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok", 599, "ok"},
+      {"HTTP/1.1 200 OK\nContent-Length: 2\n\nok", 200, "ok"},
+      {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~1a: x\r\nContent-Length: 2\r\n\r\nok",
+       200, "ok"},
+      {"HTTP/1.1 200 OK\r\nX:\r\nY: \t a\tb\xff \r\nContent-Length:2\r\n\r\nok",
+       200, "ok"},
+      {"HTTP/1.1 200 OK\r\ncontent-length: 02 \r\n\r\nok", 200, "ok"},
+      {"HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked\r\n\r\n"
+       "002;a=\"b\"\r\nok\r\n00\r\nX: y\r\n\r\n",
+       200, "ok"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2  \r\nok\r\n0 \r\n\r\n",
+       200, "ok"},
+      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n", 204, ""},
+      {"HTTP/1.1 200 OK\r\n\r\nto the end", 200, "to the end"},
+  };
+  for (const valid_case& valid : cases) {
+    CAPTURE(valid.bytes);
+    pool_fixture f;
+    const auto seen = f.Get(valid.bytes);
+    CHECK(seen->ended);
+    CHECK(seen->status == valid.status);
+    CHECK(seen->body == valid.body);
+  }
+}
+
 // How an upload goes on while its answer is cut.
 struct upload_plan {
   std::size_t piece;    // Bytes written at a time.
