Reject messages with a malformed header field

Callers saw: an answer whose field had a blank in its name or before its colon, with that line passed on; if the field was the length, the body didn't end where the upstream's did (MIXED). Found with it: a request with such a field was taken, and with "Content-Length : 29" its body was passed on as a request (UNASKED).

Cause: http-parser accepts blanks in names as the packaged library is built, and joins a folded line to the value before it.

Change: `syntax_check` reads each field of a head: a token as its name (RFC 9110, section 5.6.2), a colon right behind it, text up to the line's end, and no folded lines (RFC 9112, section 5.2). Malformed answers fail as kBadAnswer, malformed requests are answered 400, before anything of them is passed on.

--- a/src/stream/syntax_check.cc
+++ b/src/stream/syntax_check.cc
@@ -1,5 +1,7 @@
 #include "stream/syntax_check.h"
 
+#include <array>
+
 namespace pimentohall::stream {
 namespace {
 
@@ -7,16 +9,30 @@
 // class (RFC 9110, section 15: 100 to 599).
 constexpr std::string_view kStatusLine = "HTTP/1.N CNN";
 
+enum byte_kind : std::uint8_t { kOther, kText, kToken };
+
 constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-// Whether the byte may stand in a reason.
-bool IsText(char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  return byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+// Token bytes may stand in names, text bytes also in values, reasons .
+constexpr std::array<byte_kind, 256> ByteKinds() {
+  std::array<byte_kind, 256> kinds{};
+  for (std::size_t i = 0x20; i < kinds.size(); ++i) kinds[i] = kText;
+  kinds['\t'] = kText;
+  kinds[0x7f] = kOther;
+  for (std::size_t i = 'a'; i <= 'z'; ++i) kinds[i] = kToken;
+  for (std::size_t i = 'A'; i <= 'Z'; ++i) kinds[i] = kToken;
+  for (std::size_t i = '0'; i <= '9'; ++i) kinds[i] = kToken;
+  for (const char c : std::string_view("!#$%&'*+-.^_`|~")) {
+    kinds[static_cast<unsigned char>(c)] = kToken;
+  }
+  return kinds;
 }
+constexpr std::array<byte_kind, 256> kByteKinds = ByteKinds();
+
+byte_kind KindOf(char c) { return kByteKinds[static_cast<unsigned char>(c)]; }
 
 const char* SkipText(const char* at, const char* end) {
-  while (at != end && IsText(*at)) ++at;
+  while (at != end && KindOf(*at) != kOther) ++at;
   return at;
 }
 
@@ -98,14 +114,17 @@
   return at + 1;
 }
 
+// Folded lines, which start with a blank, are malformed (RFC 9112, section
+// 5.2).
 const char* syntax_check::AtFieldStart(const char* at, const char* end) {
   if (*at == '\r') {
     state_ = &syntax_check::AtLastLineFeed;
     return at + 1;
   }
   if (*at == '\n') return AtLastLineFeed(at, end);
-  state_ = &syntax_check::InField;
-  return at;
+  if (KindOf(*at) != kToken) return nullptr;
+  state_ = &syntax_check::InFieldName;
+  return at + 1;
 }
 
 const char* syntax_check::AtLastLineFeed(const char* at, const char*) {
@@ -114,10 +133,11 @@
   return at + 1;
 }
 
-const char* syntax_check::InField(const char* at, const char* end) {
-  while (at != end && *at != '\n') ++at;
+const char* syntax_check::InFieldName(const char* at, const char* end) {
+  while (at != end && KindOf(*at) == kToken) ++at;
   if (at == end) return at;
-  state_ = &syntax_check::AtFieldStart;
+  if (*at != ':') return nullptr;
+  state_ = &syntax_check::InLine;
   return at + 1;
 }
 
--- a/src/stream/syntax_check.h
+++ b/src/stream/syntax_check.h
@@ -4,8 +4,9 @@
 // Checks the heads of HTTP/1.1 messages against the grammar of RFC 9112.
 //
 // http-parser accepts more than the grammar: a status of any number of digits,
-// and a CR without an LF. Such a message may mean something else to the next
-// parser, or hide that its sender failed.
+// blanks in and around field names, folded lines, and a CR without an LF. Such
+// a message may mean something else to the next parser, or hide that its sender
+// failed.
 //
 //   syntax_check check(syntax_check::first_line::kStatus);
 //   check.BeginHead();
@@ -43,7 +44,7 @@
   const char* InStatusLine(const char* at, const char* end);
   const char* InLine(const char* at, const char* end);
   const char* AtFieldStart(const char* at, const char* end);
-  const char* InField(const char* at, const char* end);
+  const char* InFieldName(const char* at, const char* end);
   const char* AtLineFeed(const char* at, const char* end);
   const char* AtLastLineFeed(const char* at, const char* end);
   const char* InUncheckedBody(const char* at, const char* end);
--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -106,6 +106,69 @@
   }
 }
 
+// All bytes of a field's name but these are invalid (RFC 9110, section 5.6.2).
+bool IsTokenByte(char byte) {
+  return std::isalnum(static_cast<unsigned char>(byte)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(byte) !=
+             std::string_view::npos;
+}
+
+TEST_CASE("an answer with an invalid byte in a field's name is no answer") {
+  for (int i = 0; i < 256; ++i) {
+    const char byte = static_cast<char>(i);
+    if (IsTokenByte(byte) || byte == ':' || byte == '\n') continue;
+    const std::string name = "Content-Length";
+    for (const std::size_t at : {std::size_t{0}, std::size_t{7}, name.size()}) {
+      for (const std::string& before :
+           {std::string(), std::string("Server: x\r\n")}) {
+        std::string field = name;
+        field.insert(at, 1, byte);
+        pool_fixture f;
+        const auto seen = f.Get("HTTP/1.1 200 OK\r\n" + before + field +
+                                ": 2\r\n\r\nok and more");
+        CAPTURE(i);
+        CAPTURE(at);
+        CAPTURE(before);
+        CHECK(seen->status == 0);
+        CHECK(seen->IsRejected());
+      }
+    }
+  }
+}
+
+TEST_CASE("an answer with a malformed field or length is no answer") {
+  const std::string fields[] = {
+      "no colon\r\n",
+      "nocolon\r\n",
+      ": no name\r\n",
+      " : blank\r\n",
+      "X: a\r\n folded\r\n",
+      "Content-Length: 2\r\n 0\r\n",
+      "X: a\rY: b\r\n",
+      std::string("X: a\0b\r\n", 8),
+      "X: a\x01\r\n",
+      "X: a\x7f\r\n",
+      "Content-Length:\r\n",
+      "Content-Length: \r\n",
+      "Content-Length: +2\r\n",
+      "Content-Length: -2\r\n",
+      "Content-Length: 2 2\r\n",
+      "Content-Length: 2, 2\r\n",
+      "Content-Length: 2x\r\n",
+      "Content-Length: 0x2\r\n",
+      "Content-Length: 2\r\nContent-Length: 2\r\n",
+      "Content-Length: 99999999999999999999999\r\n",
+      "X: y\r\n\rZ",
+  };
+  for (const std::string& field : fields) {
+    CAPTURE(field);
+    pool_fixture f;
+    const auto seen = f.Get("HTTP/1.1 200 OK\r\n" + field + "\r\nok");
+    CHECK(seen->status == 0);
+    CHECK(seen->IsRejected());
+  }
+}
+
 // Answers that must go on to be passed on.
 TEST_CASE("unusual but valid answers are answers") {
   struct valid_case {
--- a/testing/unit/stream_test.cc
+++ b/testing/unit/stream_test.cc
@@ -511,6 +511,26 @@
   CHECK(f.net.RunUntil([&f] { return f.front.Connections() == 0; }));
 }
 
+// Guards against UNASKED: with a blank before the colon, a length was no
+// length, and the body was passed on as a request of its own.
+TEST_CASE("a request with a malformed field is refused, and its body unread") {
+  const std::string fields[] = {
+      "Content-Length : 29\r\n",         "Content Length: 29\r\n",
+      " Content-Length: 29\r\n",         "Content-Length\t: 29\r\n",
+      "Content-Length\x01: 29\r\n",      "X: a\r\n Content-Length: 29\r\n",
+      "Transfer-Encoding : chunked\r\n", "X: a\rContent-Length: 29\r\n"};
+  for (const std::string& field : fields) {
+    CAPTURE(field);
+    stream_fixture f;
+    net::raw_stream caller(f.net, f.target.port);
+    caller.Write("POST /outer HTTP/1.1\r\nHost: a\r\n" + field +
+                 "\r\nGET /inner HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(f.net.RunUntil([&caller] { return caller.Has("HTTP/1.1 400"); }));
+    CHECK(f.net.RunUntil([&caller] { return caller.closed; }));
+    CHECK(f.requests.empty());
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Requests sent ahead on one connection.
 
