Reject messages in a transfer coding other than chunked

Requests in "gzip, chunked" were passed on in the same way.

Cause: hop-by-hop fields are dropped, and http-parser takes any list that ends with chunked as chunked, and for answers anything else as a body that ends with the connection.

Change: `connection` makes the check of the lengths that evhttp's messages get (`FindLengthProblem`, which now ignores blanks around a value): one length or "chunked", nothing else.

Evidence: the new test sends ten values of Transfer-Encoding.

--- a/src/net/request_check.cc
+++ b/src/net/request_check.cc
@@ -51,22 +51,6 @@
   return nullptr;
 }
 
-const char* FindLengthProblem(const header_list& headers) {
-  const int lengths = CountHeader(headers, "Content-Length");
-  const int codings = CountHeader(headers, "Transfer-Encoding");
-  if (lengths > 1) return "several Content-Length headers";
-  if (lengths + codings > 1) return "Content-Length with Transfer-Encoding";
-  if (codings == 1 &&
-      !EqualsIgnoringCase(FindHeader(headers, "Transfer-Encoding"),
-                          "chunked")) {
-    return "unknown Transfer-Encoding";
-  }
-  if (lengths == 1 && !ParseDigits(FindHeader(headers, "Content-Length"))) {
-    return "bad Content-Length";
-  }
-  return nullptr;
-}
-
 bool MethodAllowsBody(std::string_view method) {
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -83,19 +67,20 @@
                             kOurHeaderPrefix);
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
 // True if the comma-separated list `value` contains `name`.
 bool ListContains(std::string_view value, std::string_view name) {
   while (!value.empty()) {
     const std::size_t comma = std::min(value.find(','), value.size());
-    std::string_view item = value.substr(0, comma);
+    const std::string_view item = value.substr(0, comma);
     value.remove_prefix(std::min(comma + 1, value.size()));
-    while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
-      item.remove_prefix(1);
-    }
-    while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
-      item.remove_suffix(1);
-    }
-    if (EqualsIgnoringCase(item, name)) return true;
+    if (EqualsIgnoringCase(TrimBlanks(item), name)) return true;
   }
   return false;
 }
@@ -115,6 +100,23 @@
   return number;
 }
 
+const char* FindLengthProblem(const header_list& headers) {
+  const int lengths = CountHeader(headers, "Content-Length");
+  const int codings = CountHeader(headers, "Transfer-Encoding");
+  if (lengths > 1) return "several Content-Length headers";
+  if (lengths + codings > 1) return "Content-Length with Transfer-Encoding";
+  if (codings == 1 &&
+      !EqualsIgnoringCase(TrimBlanks(FindHeader(headers, "Transfer-Encoding")),
+                          "chunked")) {
+    return "unknown Transfer-Encoding";
+  }
+  if (lengths == 1 &&
+      !ParseDigits(TrimBlanks(FindHeader(headers, "Content-Length")))) {
+    return "bad Content-Length";
+  }
+  return nullptr;
+}
+
 const char* FindRequestProblem(const request_head& head) {
   if (head.target.empty() || head.target.front() != '/') {
     return "the request target must be a path";
--- a/src/net/request_check.h
+++ b/src/net/request_check.h
@@ -25,9 +25,12 @@
 // Why the request is refused with status 400, or null.
 const char* FindRequestProblem(const request_head& head);
 
-// Why the length of an answer is ambiguous, or null.
+// Why the answer is no valid final answer, or null.
 const char* FindAnswerProblem(int status, const header_list& headers);
 
+// Why the length of a body is ambiguous or unknown, or null.
+const char* FindLengthProblem(const header_list& headers);
+
 // The parsed X-Pimentohall-* headers of a request.
 struct call_options {
   std::optional<std::int64_t> deadline_ms;
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -16,6 +16,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "net/request_check.h"
 #include "net/socket.h"
 #include "pimentohall/stream.h"
 #include "stream/syntax_check.h"
@@ -246,6 +247,7 @@
         return owner_->IsOpen() ? 0 : -1;
       }
     }
+    if (net::FindLengthProblem(head_.headers) != nullptr) return -1;
     syntax_.BeginBody();
     head_.close = http_should_keep_alive(&state_) == 0;
     if ((state_.flags & F_CHUNKED) != 0) {
--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -169,6 +169,23 @@
   }
 }
 
+// Guards against a body that is passed on in a coding that its receiver isn't
+// told of.
+TEST_CASE("an answer in an unknown transfer coding is no answer") {
+  for (const std::string& value : std::initializer_list<std::string>{
+           "", "gzip", "identity", "xchunked", "chunked;q=1", "gzip, chunked",
+           "chunked, gzip", "chunked, chunked",
+           "chunked\r\nTransfer-Encoding: chunked",
+           "gzip\r\nTransfer-Encoding: chunked"}) {
+    CAPTURE(value);
+    pool_fixture f;
+    const auto seen = f.Get("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + value +
+                            "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    CHECK(seen->status == 0);
+    CHECK(seen->IsRejected());
+  }
+}
+
 // Answers that must go on to be passed on.
 TEST_CASE("unusual but valid answers are answers") {
   struct valid_case {
