Reject chunked bodies whose chunks are malformed

Callers saw: an answer with malformed chunks as complete, with other bytes than its upstream's (MIXED).

Cause: http-parser, as the packaged library is built, takes any two bytes behind a chunk for its line end, any byte behind a CR for an LF, and anything behind a blank in the line of the size; it doesn't check names in trailers.

Change: `syntax_check` reads the chunks (RFC 9112, section 7.1): the size, blanks or an extension, CR LF; the data, CR LF; and after the last one trailers, which are read as fields. An answer that fails midway is cut, and so is a request.

Evidence: the new test sends 18 malformed bodies.

--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -248,7 +248,7 @@
       }
     }
     if (net::FindLengthProblem(head_.headers) != nullptr) return -1;
-    syntax_.BeginBody();
+    syntax_.BeginBody((state_.flags & F_CHUNKED) != 0);
     head_.close = http_should_keep_alive(&state_) == 0;
     if ((state_.flags & F_CHUNKED) != 0) {
       head_.framing = body_framing::kChunked;
--- a/src/stream/syntax_check.cc
+++ b/src/stream/syntax_check.cc
@@ -1,6 +1,8 @@
 #include "stream/syntax_check.h"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace pimentohall::stream {
 namespace {
@@ -13,7 +15,8 @@
 
 constexpr bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-// Token bytes may stand in names, text bytes also in values, reasons .
+// Token bytes may stand in names, text bytes also in values, reasons and chunk
+// extensions.
 constexpr std::array<byte_kind, 256> ByteKinds() {
   std::array<byte_kind, 256> kinds{};
   for (std::size_t i = 0x20; i < kinds.size(); ++i) kinds[i] = kText;
@@ -47,6 +50,14 @@
   }
 }
 
+// Returns -1 if the byte is no hexadecimal digit.
+int HexDigit(char c) {
+  if (IsDigit(c)) return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
 }  // namespace
 
 void syntax_check::BeginHead() {
@@ -55,8 +66,9 @@
   line_bytes_ = 0;
 }
 
-void syntax_check::BeginBody() {
-  state_ = &syntax_check::InUncheckedBody;
+void syntax_check::BeginBody(bool is_chunked) {
+  state_ =
+      is_chunked ? &syntax_check::AtChunkSize : &syntax_check::InUncheckedBody;
   section_ended_ = false;
 }
 
@@ -71,7 +83,7 @@
 }
 
 // ---------------------------------------------------------------------------
-// Heads.
+// Head and trailers.
 
 // RFC 9112, section 2.2: empty lines before a message are skipped.
 const char* syntax_check::BeforeFirstLine(const char* at, const char*) {
@@ -148,4 +160,75 @@
   return end;
 }
 
+const char* syntax_check::AtChunkSize(const char* at, const char*) {
+  if (HexDigit(*at) < 0) return nullptr;
+  chunk_left_ = 0;
+  state_ = &syntax_check::InChunkSize;
+  return at;
+}
+
+const char* syntax_check::InChunkSize(const char* at, const char* end) {
+  constexpr std::uint64_t kMaxSize =
+      std::numeric_limits<std::uint64_t>::max() / 16 - 1;
+  for (; at != end; ++at) {
+    const int digit = HexDigit(*at);
+    if (digit < 0) {
+      state_ = &syntax_check::BehindChunkSize;
+      return at;
+    }
+    if (chunk_left_ > kMaxSize) return nullptr;
+    chunk_left_ = chunk_left_ * 16 + static_cast<std::uint64_t>(digit);
+  }
+  return at;
+}
+
+// Some servers pad the size with blanks.
+const char* syntax_check::BehindChunkSize(const char* at, const char* end) {
+  while (at != end && *at == ' ') ++at;
+  if (at == end) return at;
+  if (*at == ';') {
+    state_ = &syntax_check::InChunkExtension;
+    return at + 1;
+  }
+  if (*at != '\r') return nullptr;
+  state_ = &syntax_check::AtChunkSizeLineFeed;
+  return at + 1;
+}
+
+const char* syntax_check::InChunkExtension(const char* at, const char* end) {
+  at = SkipText(at, end);
+  if (at == end) return at;
+  if (*at != '\r') return nullptr;
+  state_ = &syntax_check::AtChunkSizeLineFeed;
+  return at + 1;
+}
+
+const char* syntax_check::AtChunkSizeLineFeed(const char* at, const char*) {
+  if (*at != '\n') return nullptr;
+  // The trailers, which end like a head, follow the last chunk.
+  state_ =
+      chunk_left_ > 0 ? &syntax_check::InChunk : &syntax_check::AtFieldStart;
+  return at + 1;
+}
+
+const char* syntax_check::InChunk(const char* at, const char* end) {
+  const std::uint64_t size = std::min<std::uint64_t>(
+      chunk_left_, static_cast<std::uint64_t>(end - at));
+  chunk_left_ -= size;
+  if (chunk_left_ == 0) state_ = &syntax_check::AtChunkEnd;
+  return at + size;
+}
+
+const char* syntax_check::AtChunkEnd(const char* at, const char*) {
+  if (*at != '\r') return nullptr;
+  state_ = &syntax_check::AtChunkEndLineFeed;
+  return at + 1;
+}
+
+const char* syntax_check::AtChunkEndLineFeed(const char* at, const char*) {
+  if (*at != '\n') return nullptr;
+  state_ = &syntax_check::AtChunkSize;
+  return at + 1;
+}
+
 }  // namespace pimentohall::stream
--- a/src/stream/syntax_check.h
+++ b/src/stream/syntax_check.h
@@ -1,18 +1,18 @@
 #ifndef PIMENTOHALL_STREAM_SYNTAX_CHECK_H_
 #define PIMENTOHALL_STREAM_SYNTAX_CHECK_H_
 
-// Checks the heads of HTTP/1.1 messages against the grammar of RFC 9112.
+// Checks the lines of HTTP/1.1 messages against the grammar of RFC 9112.
 //
 // http-parser accepts more than the grammar: a status of any number of digits,
-// blanks in and around field names, folded lines, and a CR without an LF. Such
-// a message may mean something else to the next parser, or hide that its sender
-// failed.
+// blanks in and around field names, folded lines, a CR without an LF, and any
+// two bytes behind a chunk. Such a message may mean something else to the next
+// parser, or hide that its sender failed.
 //
 //   syntax_check check(syntax_check::first_line::kStatus);
 //   check.BeginHead();
 //   const std::optional<std::size_t> valid = check.Check(bytes);
 //   // Not set: malformed. Otherwise parse `*valid` bytes, and then:
-//   check.BeginBody();
+//   check.BeginBody(is_chunked);
 
 #include <cstddef>
 #include <cstdint>
@@ -29,10 +29,10 @@
 
   // The next byte is the first one of a message.
   void BeginHead();
-  // The next byte follows the head. Bodies aren't checked.
-  void BeginBody();
-  // Returns how many bytes are valid: all, or those up to the end of the head.
-  // Null: malformed. Bytes aren't passed in again.
+  // The next byte follows the head. Bodies without chunks aren't checked.
+  void BeginBody(bool is_chunked);
+  // Returns how many bytes are valid: all, or those up to the end of the head
+  // or of the chunked body. Null: malformed. Bytes aren't passed in again.
   std::optional<std::size_t> Check(std::string_view bytes);
 
  private:
@@ -47,13 +47,22 @@
   const char* InFieldName(const char* at, const char* end);
   const char* AtLineFeed(const char* at, const char* end);
   const char* AtLastLineFeed(const char* at, const char* end);
+  const char* AtChunkSize(const char* at, const char* end);
+  const char* InChunkSize(const char* at, const char* end);
+  const char* BehindChunkSize(const char* at, const char* end);
+  const char* InChunkExtension(const char* at, const char* end);
+  const char* AtChunkSizeLineFeed(const char* at, const char* end);
+  const char* InChunk(const char* at, const char* end);
+  const char* AtChunkEnd(const char* at, const char* end);
+  const char* AtChunkEndLineFeed(const char* at, const char* end);
   const char* InUncheckedBody(const char* at, const char* end);
   const char* EndLine(const char* at);
 
   const first_line kind_;
   state state_ = nullptr;
-  bool section_ended_ = false;
+  bool section_ended_ = false;  // The head or the chunked body.
   std::size_t line_bytes_ = 0;  // Of a status line, as far as it is fixed.
+  std::uint64_t chunk_left_ = 0;
 };
 
 }  // namespace pimentohall::stream
--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -186,6 +186,38 @@
   }
 }
 
+TEST_CASE("an answer with malformed chunks never ends as complete") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string bodies[] = {
+      "2\r\nok0\r\n\r\n",
+      "2\r\nokXX0\r\n\r\n",
+      "2\r\nok\rX0\r\n\r\n",
+      "2\r\nokX\n0\r\n\r\n",
+      "2\rXok\r\n0\r\n\r\n",
+      "2\r\nok\r\n0\rX\r\n",
+      "2\r\nok\r\n0\r\n\rX",
+      "2 \r\nok\r\n0 x\r\n\r\n",
+      "x\r\nok\r\n0\r\n\r\n",
+      "-2\r\nok\r\n0\r\n\r\n",
+      "0x2\r\nok\r\n0\r\n\r\n",
+      "\r\n2\r\nok\r\n0\r\n\r\n",
+      "2;a\x01\r\nok\r\n0\r\n\r\n",
+      "10000000000000002\r\nok\r\n0\r\n\r\n",
+      "2\r\nok\r\n0\r\nbad name: x\r\n\r\n",
+      "2\r\nok\r\n0\r\nname : x\r\n\r\n",
+      "2\r\nok\r\n0\r\nnocolon\r\n\r\n",
+      "2\r\nok\r\n0\r\nX: a\x01\r\n\r\n",
+  };
+  for (const std::string& body : bodies) {
+    CAPTURE(body);
+    pool_fixture f;
+    const auto seen = f.Get(head + body);
+    CHECK_FALSE(seen->ended);
+    CHECK(seen->failed.has_value());
+  }
+}
+
 // Answers that must go on to be passed on.
 TEST_CASE("unusual but valid answers are answers") {
   struct valid_case {
