Reject malformed answers to probes and to reads of the source

Seen: `net::http_client`, which probes upstreams, reads the source, asks peers and, without a platform, carries calls to upstreams, read malformed answers as valid ones.

Cause: evhttp reads a status with atoi, so "0200" and "200x" are 200, any number from 100 on, folded lines, a value up to its first NUL, a chunk without its line end, a size like "0x2" or "2 x", and any name in trailers. `FindAnswerProblem` sees only what evhttp made of them. Status 000 and below 200, names that are no tokens, unclear lengths and unknown codings were already rejected.

Change: `syntax_check` moves to library `net`, and `answer_check` reads the bytes of an answer with it as they arrive in evhttp's buffer. A broken answer ends its request with kLost and its connection.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,8 @@
 // - A connection goes back to the pool only if it is open and its input buffer
 //   is empty; evhttp would parse left-over bytes as the next answer. Before it
 //   is reused, the socket is checked again for a close by the peer.
+// - It reads malformed answers as valid ones. So `answer_check` reads the bytes
+//   of an answer before evhttp does.
 // - evhttp_connection_free isn't called from evhttp's own callbacks; discarded
 //   connections are freed in the next iteration of the event loop.
 
@@ -24,12 +26,14 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cctype>
 #include <map>
 #include <unordered_map>
 
 #include "net/raii.h"
 #include "net/request_check.h"
 #include "net/socket.h"
+#include "net/syntax_check.h"
 #include "pimentohall/net.h"
 
 namespace pimentohall::net {
@@ -55,6 +59,16 @@
   return found->second;
 }
 
+// Returns the position of `name`, in lower case, in `text`.
+std::size_t FindIgnoringCase(const std::string& text, std::string_view name) {
+  const auto found = std::search(
+      text.begin(), text.end(), name.begin(), name.end(), [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a)) == b;
+      });
+  return found == text.end() ? std::string::npos
+                             : static_cast<std::size_t>(found - text.begin());
+}
+
 bool IsIpAddress(const std::string& address) {
   sockaddr_storage parsed{};
   int size = sizeof(parsed);
@@ -66,8 +80,60 @@
   return target.address + " " + std::to_string(target.port);
 }
 
+// Checks the bytes of an answer in their order of arrival.
+class answer_check {
+ public:
+  void Begin() {
+    *this = {};
+    syntax_.BeginHead();
+  }
+
+  // False: the answer is malformed.
+  bool Add(std::string_view bytes) {
+    while (!bytes.empty() && part_ != part::kUnchecked) {
+      const std::optional<std::size_t> valid = syntax_.Check(bytes);
+      if (!valid) return false;
+      if (part_ == part::kHead) {
+        head_.append(bytes.substr(0, *valid));
+      }
+      bytes.remove_prefix(*valid);
+      if (syntax_.HasSectionEnded()) EndSection();
+    }
+    return true;
+  }
+
+ private:
+  enum class part { kHead, kChunks, kUnchecked };
+
+  void EndSection() {
+    if (part_ == part::kChunks) {
+      part_ = part::kUnchecked;
+      return;
+    }
+    const std::string head = std::exchange(head_, {});
+    // The status line is valid; empty lines may precede it.
+    constexpr std::size_t kStatusAt = sizeof("HTTP/1.1 ") - 1;
+    if (head[head.find('H') + kStatusAt] == '1') {
+      syntax_.BeginHead();  // An interim answer.
+      return;
+    }
+    // Other codings are rejected when evhttp has read the answer.
+    const bool is_chunked =
+        FindIgnoringCase(head, "\ntransfer-encoding:") != std::string::npos;
+    part_ = is_chunked ? part::kChunks : part::kUnchecked;
+    syntax_.BeginBody(is_chunked);
+  }
+
+  syntax_check syntax_{syntax_check::first_line::kStatus};
+  part part_ = part::kHead;
+  std::string head_;
+};
+
 struct connection {
   connection_ptr http;
+  answer_check check;
+  // Called once when the answer is broken; empty: it was called.
+  std::function<void()> on_broken_answer;
   std::size_t written = 0;  // Bytes of the current request.
   bool unusable = false;    // Must not return to the pool.
   core::instant idle_since;
@@ -98,6 +164,20 @@
   if (by_socket) conn->written += info->n_deleted;
 }
 
+void CheckReadBytes(evbuffer* input, const evbuffer_cb_info* info,
+                    void* argument) {
+  auto* conn = static_cast<connection*>(argument);
+  if (info->n_added == 0 || !conn->on_broken_answer) return;
+  const std::size_t size = evbuffer_get_length(input);
+  std::string bytes(info->n_added, '\0');
+  evbuffer_ptr start;
+  evbuffer_ptr_set(input, &start, size - info->n_added, EVBUFFER_PTR_SET);
+  evbuffer_copyout_from(input, &start, bytes.data(), bytes.size());
+  if (conn->check.Add(bytes)) return;
+  conn->unusable = true;
+  std::exchange(conn->on_broken_answer, nullptr)();
+}
+
 }  // namespace
 
 class http_client::impl {
@@ -204,6 +284,7 @@
     bufferevent* stream = evhttp_connection_get_bufferevent(conn->http.get());
     evbuffer_add_cb(bufferevent_get_output(stream), &CountWrittenBytes,
                     conn.get());
+    evbuffer_add_cb(bufferevent_get_input(stream), &CheckReadBytes, conn.get());
     return conn;
   }
 
@@ -215,6 +296,10 @@
     ++pool.running;
     running->conn = TakeConnection(&pool, request.target);
     running->conn->written = 0;
+    running->conn->check.Begin();
+    running->conn->on_broken_answer = [this, id = running->id] {
+      OnBrokenAnswer(id);
+    };
     evhttp_request* evhttp_call = evhttp_request_new(&impl::OnDone, running);
     FillRequest(evhttp_call, request);
     running->request = evhttp_call;
@@ -266,7 +351,8 @@
   }
 
   void OnAnswer(exchange* running, evhttp_request* request) {
-    if (request == nullptr || request->response_code == 0) {
+    const bool is_broken = !running->conn->on_broken_answer;
+    if (request == nullptr || request->response_code == 0 || is_broken) {
       running->conn->unusable = true;
       return FinishLater(
           running->id,
@@ -324,6 +410,18 @@
                                    : http_failure::kNotSent));
   }
 
+  // evhttp is reading the connection, which therefore ends on a later turn.
+  void OnBrokenAnswer(request_id id) {
+    loop_.Post([this, id, alive = std::weak_ptr<int>(alive_)] {
+      if (alive.expired()) return;
+      const auto found = exchanges_.find(id);
+      // Not set: evhttp has ended the request, and its end was reported.
+      if (found == exchanges_.end() || !found->second->request) return;
+      Abandon(found->second.get());
+      Finish(id, tl::unexpected(http_failure::kLost));
+    });
+  }
+
   // Stops evhttp from working on the request; its callback isn't called.
   static void Abandon(exchange* running) {
     if (running->request == nullptr) return;
--- a/src/stream/syntax_check.cc
+++ b/src/net/syntax_check.cc
@@ -1,10 +1,10 @@
-#include "stream/syntax_check.h"
+#include "net/syntax_check.h"
 
 #include <algorithm>
 #include <array>
 #include <limits>
 
-namespace pimentohall::stream {
+namespace pimentohall::net {
 namespace {
 
 // Start of a status line: 'N' stands for a digit, and 'C' for one of a status's
@@ -231,4 +231,4 @@
   return at + 1;
 }
 
-}  // namespace pimentohall::stream
+}  // namespace pimentohall::net
--- a/src/stream/syntax_check.h
+++ b/src/net/syntax_check.h
@@ -1,12 +1,12 @@
-#ifndef PIMENTOHALL_STREAM_SYNTAX_CHECK_H_
-#define PIMENTOHALL_STREAM_SYNTAX_CHECK_H_
+#ifndef PIMENTOHALL_NET_SYNTAX_CHECK_H_
+#define PIMENTOHALL_NET_SYNTAX_CHECK_H_
 
 // Checks the lines of HTTP/1.1 messages against the grammar of RFC 9112.
 //
-// http-parser accepts more than the grammar: a status of any number of digits,
-// blanks in and around field names, folded lines, a CR without an LF, and any
-// two bytes behind a chunk. Such a message may mean something else to the next
-// parser, or hide that its sender failed.
+// http-parser and evhttp accept more than the grammar, for example a status of
+// any number of digits, blanks in and around field names, folded lines, a CR
+// without an LF, and any two bytes behind a chunk. Such a message may mean
+// something else to the next parser, or hide that its sender failed.
 //
 //   syntax_check check(syntax_check::first_line::kStatus);
 //   check.BeginHead();
@@ -19,7 +19,7 @@
 #include <optional>
 #include <string_view>
 
-namespace pimentohall::stream {
+namespace pimentohall::net {
 
 class syntax_check {
  public:
@@ -34,6 +34,8 @@
   // Returns how many bytes are valid: all, or those up to the end of the head
   // or of the chunked body. Null: malformed. Bytes aren't passed in again.
   std::optional<std::size_t> Check(std::string_view bytes);
+  // Whether the last checked byte ended the head or the chunked body.
+  bool HasSectionEnded() const { return section_ended_; }
 
  private:
   // A state reads the bytes that belong to it, sets the next state, and returns
@@ -58,13 +60,13 @@
   const char* InUncheckedBody(const char* at, const char* end);
   const char* EndLine(const char* at);
 
-  const first_line kind_;
+  first_line kind_;
   state state_ = nullptr;
   bool section_ended_ = false;  // The head or the chunked body.
   std::size_t line_bytes_ = 0;  // Of a status line, as far as it is fixed.
   std::uint64_t chunk_left_ = 0;
 };
 
-}  // namespace pimentohall::stream
+}  // namespace pimentohall::net
 
-#endif  // PIMENTOHALL_STREAM_SYNTAX_CHECK_H_
+#endif  // PIMENTOHALL_NET_SYNTAX_CHECK_H_
--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -18,8 +18,8 @@
 
 #include "net/request_check.h"
 #include "net/socket.h"
+#include "net/syntax_check.h"
 #include "pimentohall/stream.h"
-#include "stream/syntax_check.h"
 
 namespace pimentohall::stream {
 namespace {
@@ -118,8 +118,8 @@
   parser(connection* owner, connection::side side)
       : owner_(owner),
         syntax_(side == connection::side::kServer
-                    ? syntax_check::first_line::kRequest
-                    : syntax_check::first_line::kStatus) {
+                    ? net::syntax_check::first_line::kRequest
+                    : net::syntax_check::first_line::kStatus) {
     http_parser_init(&state_, side == connection::side::kServer
                                   ? HTTP_REQUEST
                                   : HTTP_RESPONSE);
@@ -295,7 +295,7 @@
   }
 
   connection* const owner_;
-  syntax_check syntax_;
+  net::syntax_check syntax_;
   bool is_malformed_ = false;
   http_parser state_{};
   message_head head_;
