Bound what http_client keeps of an answer without end

`net::http_client` had this fault for probes, the source, peers and, without a platform, calls to upstreams.

Cause: evhttp limits a head and a body, but not the heads of answers 100, which it collects, a chunk's line before its end, nor what arrives before the request is written.

Change: `answer_check` allows all heads of an answer 16 KB together, the limit of one, and evhttp's buffer the longest body and a head. Beyond that the request fails with kLost and its connection is closed.

Evidence: the new test lets 13 kinds of answers go on without end for 1 s, and allows 8 MB. Streamed calls (`stream::client_pool`) were bounded before, see "answers without end are cut off" of the node tests; nothing was changed there.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,8 +15,9 @@
 // - A connection goes back to the pool only if it is open and its input buffer
 //   is empty; evhttp would parse left-over bytes as the next answer. Before it
 //   is reused, the socket is checked again for a close by the peer.
-// - It reads malformed answers as valid ones. So `answer_check` reads the bytes
-//   of an answer before evhttp does.
+// - It reads malformed answers, and keeps chunk lines, interim answers and what
+//   arrives before the request is written without a limit. So `answer_check`
+//   reads the bytes of an answer before evhttp does.
 // - evhttp_connection_free isn't called from evhttp's own callbacks; discarded
 //   connections are freed in the next iteration of the event loop.
 
@@ -88,13 +89,15 @@
     syntax_.BeginHead();
   }
 
-  // False: the answer is malformed.
+  // False: the answer is malformed, or its heads are too long.
   bool Add(std::string_view bytes) {
     while (!bytes.empty() && part_ != part::kUnchecked) {
       const std::optional<std::size_t> valid = syntax_.Check(bytes);
       if (!valid) return false;
       if (part_ == part::kHead) {
         head_.append(bytes.substr(0, *valid));
+        head_bytes_ += *valid;
+        if (head_bytes_ > kMaxAnswerHeaderBytes) return false;
       }
       bytes.remove_prefix(*valid);
       if (syntax_.HasSectionEnded()) EndSection();
@@ -127,6 +130,7 @@
   syntax_check syntax_{syntax_check::first_line::kStatus};
   part part_ = part::kHead;
   std::string head_;
+  std::size_t head_bytes_ = 0;  // With those of interim answers.
 };
 
 struct connection {
@@ -134,6 +138,7 @@
   answer_check check;
   // Called once when the answer is broken; empty: it was called.
   std::function<void()> on_broken_answer;
+  std::size_t max_unparsed_bytes = 0;
   std::size_t written = 0;  // Bytes of the current request.
   bool unusable = false;    // Must not return to the pool.
   core::instant idle_since;
@@ -173,7 +178,7 @@
   evbuffer_ptr start;
   evbuffer_ptr_set(input, &start, size - info->n_added, EVBUFFER_PTR_SET);
   evbuffer_copyout_from(input, &start, bytes.data(), bytes.size());
-  if (conn->check.Add(bytes)) return;
+  if (conn->check.Add(bytes) && size <= conn->max_unparsed_bytes) return;
   conn->unusable = true;
   std::exchange(conn->on_broken_answer, nullptr)();
 }
@@ -285,6 +290,9 @@
     evbuffer_add_cb(bufferevent_get_output(stream), &CountWrittenBytes,
                     conn.get());
     evbuffer_add_cb(bufferevent_get_input(stream), &CheckReadBytes, conn.get());
+    // evhttp takes a body of a known length from the buffer when it is whole.
+    conn->max_unparsed_bytes =
+        static_cast<std::size_t>(max_answer_bytes_ + kMaxAnswerHeaderBytes);
     return conn;
   }
 
--- a/testing/unit/http_client_test.cc
+++ b/testing/unit/http_client_test.cc
@@ -111,5 +111,79 @@
   }
 }
 
+// Guards against a server whose answer never ends: it must not fill the memory
+// until the request's timeout.
+TEST_CASE("http_client keeps a bounded part of an answer without end") {
+  struct endless_case {
+    std::string name;
+    std::size_t body;
+    std::string start;
+    std::string piece;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string field = "X: " + std::string(4000, 'x') + "\r\n";
+  const endless_case cases[] = {
+      {"no line end", 0, "", std::string(4096, 'x')},
+      {"empty lines", 0, "", std::string(4096, '\n')},
+      {"a field", 0, head + "X: ", std::string(4096, 'x')},
+      {"fields", 0, head, field},
+      {"permissions to send", 0, "",
+       "HTTP/1.1 100 Continue\r\n" + field + "\r\n"},
+      {"other interim answers", 0, "",
+       "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n"},
+      {"a body", 0, head + "\r\n", std::string(4096, 'x')},
+      {"chunks", 0, chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"},
+      {"a chunk extension", 0, chunked + "1;", std::string(4096, 'x')},
+      {"a chunk size", 0, chunked, std::string(4096, '0')},
+      {"empty lines between chunks", 0, chunked, std::string(4096, '\n')},
+      {"trailers", 0, chunked + "0\r\n", field},
+      {"a body during the upload", 1 << 26, head + "\r\n",
+       std::string(4096, 'x')},
+  };
+  constexpr std::size_t kMaxKept = 8 * 1024 * 1024;
+  for (const endless_case& test_case : cases) {
+    CAPTURE(test_case.name);
+    client_fixture f;
+    raw_server server(f.net);
+    bool answered = false;
+    std::size_t written = 0;
+    std::string piece;
+    while (piece.size() < 65536) piece += test_case.piece;
+    sigc::connection writer;
+    server.on_read = [&](raw_stream* stream) {
+      if (std::exchange(answered, true)) return;
+      stream->SetReading(false);
+      stream->Write(test_case.start);
+      writer = f.net.timers.Every(
+          milliseconds(1), sigc::slot<void()>([&, stream] {
+            while (!stream->closed && stream->UnsentBytes() < (1 << 20)) {
+              stream->Write(piece);
+              written += piece.size();
+            }
+          }));
+    };
+    http_request request;
+    request.target = {"127.0.0.1", server.port};
+    if (test_case.body > 0) {
+      request.method = "POST";
+      request.body = ShareBytes(std::string(test_case.body, 'u'));
+    }
+    request.timeout = milliseconds(1000);
+    const std::size_t before = ResidentBytes();
+    std::size_t most = before;
+    sigc::connection sampler =
+        f.net.timers.Every(milliseconds(5), sigc::slot<void()>([&most] {
+                             most = std::max(most, ResidentBytes());
+                           }));
+    const result end = f.Send(request);
+    writer.disconnect();
+    sampler.disconnect();
+    CAPTURE(written);
+    CHECK_FALSE(end.has_value());
+    CHECK(most < before + kMaxKept);
+  }
+}
+
 }  // namespace
 }  // namespace pimentohall::net
--- a/testing/unit/net_harness.h
+++ b/testing/unit/net_harness.h
@@ -11,7 +11,9 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +45,17 @@
   }
 };
 
+// 0 under AddressSanitizer, which keeps freed memory for a while.
+inline std::size_t ResidentBytes() {
+#ifdef __SANITIZE_ADDRESS__
+  return 0;
+#endif
+  std::size_t total_pages = 0;
+  std::size_t resident_pages = 0;
+  std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
+  return resident_pages * static_cast<std::size_t>(getpagesize());
+}
+
 // One end of a TCP connection.
 class raw_stream {
  public:
@@ -98,6 +111,9 @@
       bufferevent_disable(stream_.get(), EV_READ);
     }
   }
+  std::size_t UnsentBytes() const {
+    return evbuffer_get_length(bufferevent_get_output(stream_.get()));
+  }
   bool Has(const std::string& text) const {
     return received.find(text) != std::string::npos;
   }
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -668,17 +668,6 @@
   conn->SendData(block);
 }
 
-// 0 under AddressSanitizer, which keeps freed memory for a while.
-std::size_t ResidentBytes() {
-#ifdef __SANITIZE_ADDRESS__
-  return 0;
-#endif
-  std::size_t total_pages = 0;
-  std::size_t resident_pages = 0;
-  std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
-  return resident_pages * static_cast<std::size_t>(getpagesize());
-}
-
 TEST_CASE("answers without end are cut off, and cost others nothing") {
   struct endless_case {
     const char* name;
@@ -714,7 +703,7 @@
     CAPTURE(test_case.name);
     node_fleet fleet(1);
     fleet.Start();
-    const std::size_t before = ResidentBytes();
+    const std::size_t before = net::ResidentBytes();
     fleet.upstreams[0]->script =
         [&test_case](const std::shared_ptr<stream::server_exchange>& call,
                      const std::string& id) {
@@ -735,7 +724,7 @@
     CHECK(std::count(test_case.statuses.begin(), test_case.statuses.end(),
                      status) == 1);
     fleet.RunFor(milliseconds(50));
-    CHECK(ResidentBytes() < before + 4 * 1024 * 1024);
+    CHECK(net::ResidentBytes() < before + 4 * 1024 * 1024);
     CHECK(fleet.Runs() == 2);
   }
 }
