Read a daemon's pages on the command line with http_client

Seen: `pimentohall` printed malformed pages as a daemon's, since it read them with evhttp alone: status 0200, a blank or a control byte in a field's name, an unknown coding, a head of any size.

Change: `AdminGet` uses `net::http_client`, so that all answers are read with the same checks and limits; a page may have 64 MB. Names of hosts still work.

--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -1,30 +1,34 @@
 #include "cli/admin_client.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
 #include <event2/http.h>
+#include <event2/util.h>
+#include <netinet/in.h>
 
 #include <cstdlib>
 #include <memory>
+#include <optional>
+
+#include "pimentohall/net.h"
 
 namespace pimentohall::cli {
 namespace {
 
-struct answer {
-  event_base* base = nullptr;
-  int status = 0;
-  std::string body;
-};
+// A daemon of a large fleet lists all upstreams and peers.
+constexpr std::int64_t kMaxPageBytes = 64 * 1024 * 1024;
 
-void OnAnswer(evhttp_request* request, void* argument) {
-  auto* result = static_cast<answer*>(argument);
-  if (request != nullptr) {
-    result->status = evhttp_request_get_response_code(request);
-    evbuffer* body = evhttp_request_get_input_buffer(request);
-    result->body.resize(evbuffer_get_length(body));
-    evbuffer_copyout(body, result->body.data(), result->body.size());
-  }
-  event_base_loopbreak(result->base);
+// Returns the IP address of a host, or an empty text.
+std::string ResolveHost(const std::string& host) {
+  evutil_addrinfo hints{};
+  hints.ai_family = AF_INET;
+  hints.ai_socktype = SOCK_STREAM;
+  evutil_addrinfo* found = nullptr;
+  if (evutil_getaddrinfo(host.c_str(), nullptr, &hints, &found) != 0) return {};
+  char text[INET_ADDRSTRLEN] = "";
+  evutil_inet_ntop(AF_INET,
+                   &reinterpret_cast<sockaddr_in*>(found->ai_addr)->sin_addr,
+                   text, sizeof(text));
+  evutil_freeaddrinfo(found);
+  return text;
 }
 
 }  // namespace
@@ -38,29 +42,27 @@
     return tl::make_unexpected(
         admin_error{address, "is not of the form address:port"});
   }
-  const std::unique_ptr<event_base, void (*)(event_base*)> base(
-      event_base_new(), event_base_free);
-  const std::unique_ptr<evhttp_connection, void (*)(evhttp_connection*)>
-      connection(evhttp_connection_base_new(base.get(), nullptr,
-                                            address.substr(0, colon).c_str(),
-                                            static_cast<std::uint16_t>(port)),
-                 evhttp_connection_free);
-  evhttp_connection_set_timeout(connection.get(), kAdminTimeoutSeconds);
-  answer result;
-  result.base = base.get();
-  evhttp_request* request = evhttp_request_new(OnAnswer, &result);
-  evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
-                    address.c_str());
-  evhttp_make_request(connection.get(), request, EVHTTP_REQ_GET, path.c_str());
-  event_base_dispatch(base.get());
-  if (result.status == 0) {
-    return tl::make_unexpected(admin_error{address, "no answer"});
-  }
-  if (result.status != HTTP_OK) {
+  net::event_loop loop;
+  net::timer_service timers(loop);
+  net::http_client client(loop, timers, 1, kMaxPageBytes);
+  net::http_request request;
+  request.target = {ResolveHost(address.substr(0, colon)), port};
+  request.path = path;
+  request.headers = {{"Host", address}};
+  request.timeout = std::chrono::seconds(kAdminTimeoutSeconds);
+  std::optional<net::http_answer> answer;
+  client.Start(request,
+               [&](tl::expected<net::http_answer, net::http_failure> result) {
+                 if (result) answer = std::move(*result);
+                 loop.Stop();
+               });
+  loop.Run();
+  if (!answer) return tl::make_unexpected(admin_error{address, "no answer"});
+  if (answer->status != HTTP_OK) {
     return tl::make_unexpected(
-        admin_error{address, "answered " + std::to_string(result.status)});
+        admin_error{address, "answered " + std::to_string(answer->status)});
   }
-  return std::move(result.body);
+  return *answer->body;
 }
 
 std::string EncodeParameter(const std::string& text) {
