Pass no call on late in a planned stop that might be cut

Callers saw: calls whose upload ended late in the grace time were passed on, and got 504 at its end while their upstream was at work (LOST). Calls that may not be repeated were among them, and their callers couldn't know whether they had run.

Cause: a stopping daemon compared the time left with the route's typical time only. An upstream that takes longer than usual is still at work when the process has to end.

Change: once the daemon has handed over (its callers know that it isn't ready, its listener is closed), a call is passed on for the first time only if its own deadline lies before the end. Others get 503 at once, with Retry-After, which is true: nothing was sent. Calls that were passed on before go on as they did.

Evidence: 16 uploads that end 2.5 to 5.3 s after the start of a stop, to an upstream that doesn't answer. An upload at 3.2 s with a budget that ends in time is still served.

--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -70,6 +70,8 @@
   bool stopping = false;
   // When a planned stop ends the process, whatever is still pending.
   instant stop_ends_at = instant::max();
+  // When calls that are pending by then are answered.
+  instant final_answers_at = instant::max();
   // Of the callers' calls, for overload control.
   sched::admission_gate gate;
   sched::return_pacer pacer;
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -68,7 +68,10 @@
 
 void ingress::BeginStop() { stopping_ = true; }
 
-void ingress::StopListening() { server_.Stop(); }
+void ingress::StopListening() {
+  handed_over_ = true;
+  server_.Stop();
+}
 
 void ingress::OnConfiguration() {
   const mesh::caller_limits& limits = fleet_.config->Parts().limits;
@@ -345,6 +348,13 @@
          now + fleet_.TypicalTime(*call.route) >= fleet_.stop_ends_at;
 }
 
+// Callers have other daemons by now, so no call is passed on for the first time
+// that might have to be cut, however long its upstream takes.
+bool ingress::MightOutlastStop(const call& call) const {
+  return handed_over_ && call.sent == 0 &&
+         call.deadline > fleet_.final_answers_at;
+}
+
 void ingress::PredictCost(call* call, instant now) const {
   call->cost.reset();
   if (!fleet_.UsesCostRouting()) return;
@@ -368,7 +378,7 @@
     OnDeadline(call);
     return;
   }
-  if (CantEndBeforeStop(*call, now)) {
+  if (CantEndBeforeStop(*call, now) || MightOutlastStop(*call)) {
     RefuseUnavailable(call, core::reason::kStopping);
     return;
   }
--- a/src/node/ingress.h
+++ b/src/node/ingress.h
@@ -27,7 +27,8 @@
   tl::expected<int, std::string> Listen();
   // From now on, answers tell callers to close their connections.
   void BeginStop();
-  // Closes idle connections and refuses new ones.
+  // Closes idle connections and refuses new ones. From now on, callers use
+  // other daemons.
   void StopListening();
   // In a planned stop: refuses calls that still wait before an upstream and
   // can't be answered any more before the process ends.
@@ -80,6 +81,7 @@
   // The Retry-After of a call that wasn't run.
   duration RetryAfter(const call& call, instant now);
   bool CantEndBeforeStop(const call& call, instant now) const;
+  bool MightOutlastStop(const call& call) const;
   void Forward(const call_ptr& call, const std::string& upstream,
                const std::string& address);
   void CountTraffic(int tag, const stream::request_traffic& traffic);
@@ -132,6 +134,7 @@
   bool controls_overload_ = false;  // As of the configuration in force.
   std::uint64_t gate_key_ = 0;
   bool stopping_ = false;
+  bool handed_over_ = false;  // `StopListening` was called.
 };
 
 }  // namespace pimentohall::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -99,6 +99,7 @@
     fleet_.stopping = true;
     stop_began_ = fleet_.loop.Now();
     fleet_.stop_ends_at = stop_began_ + fleet_.settings.grace - kGraceMargin;
+    fleet_.final_answers_at = fleet_.stop_ends_at - kFinalAnswerTime;
     net::Log(core::log_level::kInfo, "stop began",
              {{"pending", std::to_string(ingress_.Pending())},
               {"running", std::to_string(egress_.Running())}});
@@ -405,7 +406,7 @@
       SendNewsToAll();
     }
     ingress_.WithdrawHopelessCalls();
-    if (now >= fleet_.stop_ends_at - kFinalAnswerTime) {
+    if (now >= fleet_.final_answers_at) {
       egress_.RefuseQueued();
       ingress_.EndPendingCalls();
     }
--- a/testing/unit/node_fixture.h
+++ b/testing/unit/node_fixture.h
@@ -245,6 +245,27 @@
     net.RunUntil([&done] { return done; });
   }
 
+  // Sends a request's head; the answer is stored in `call`.
+  void StartExchange(int node, const stream::message_head& head,
+                     const std::shared_ptr<caller_exchange>& call) {
+    stream::exchange_handlers handlers;
+    handlers.on_head = [call](const stream::message_head& answer) {
+      call->status = answer.status;
+      call->headers = answer.headers;
+    };
+    handlers.on_data = [call](std::string_view bytes) {
+      if (call->keeps_body) call->body.append(bytes);
+    };
+    handlers.on_end = [call] { call->ended = true; };
+    handlers.on_failed = [call](stream::failure) {
+      call->ended = true;
+      call->failed = true;
+    };
+    call->exchange =
+        callers.Start({Address(node), ports[kCallers]}, head, handlers);
+    REQUIRE(call->exchange);
+  }
+
   std::shared_ptr<caller_exchange> StartCall(
       int node, const std::string& method, const std::string& path,
       const std::string& body = "", net::header_list headers = {},
@@ -262,22 +283,7 @@
       head.framing = stream::body_framing::kLength;
       head.length = body.size();
     }
-    stream::exchange_handlers handlers;
-    handlers.on_head = [call](const stream::message_head& answer) {
-      call->status = answer.status;
-      call->headers = answer.headers;
-    };
-    handlers.on_data = [call](std::string_view bytes) {
-      if (call->keeps_body) call->body.append(bytes);
-    };
-    handlers.on_end = [call] { call->ended = true; };
-    handlers.on_failed = [call](stream::failure) {
-      call->ended = true;
-      call->failed = true;
-    };
-    call->exchange =
-        callers.Start({Address(node), ports[kCallers]}, head, handlers);
-    REQUIRE(call->exchange);
+    StartExchange(node, head, call);
     call->exchange->SendData(body);
     call->exchange->SendEnd();
     return call;
--- a/testing/unit/planned_stop_test.cc
+++ b/testing/unit/planned_stop_test.cc
@@ -50,6 +50,25 @@
     return calls;
   }
 
+  // Sends a call's head and the first byte of its body.
+  std::shared_ptr<caller_exchange> BeginUpload(
+      int node, const std::string& method, std::size_t bytes,
+      const std::string& budget = "15000") {
+    auto call = std::make_shared<caller_exchange>();
+    stream::message_head head;
+    head.method = method;
+    head.target = method == "GET" ? "/read/1" : "/write/1";
+    head.headers = {{"Host", "a.example"},
+                    {"X-Attempt-Id", "upload-" + std::to_string(++last_id)},
+                    {"X-Deadline-Ms", budget},
+                    {"Authorization", "Token key-1"}};
+    head.framing = stream::body_framing::kLength;
+    head.length = bytes;
+    StartExchange(node, head, call);
+    call->exchange->SendData("x");
+    return call;
+  }
+
   struct held_call {
     upstream_standin* upstream = nullptr;
     std::shared_ptr<stream::server_exchange> exchange;
@@ -133,5 +152,64 @@
   CheckAllEnded(waiting, 200);
 }
 
+// Guards against LOST: a call that was passed on late in a stop was cut when
+// the process ended. Uploads end late, and so do their calls begin.
+TEST_CASE("late in a planned stop, a call that might be cut is not passed on") {
+  struct late_upload {
+    milliseconds ends_at;
+    std::size_t bytes;
+    std::shared_ptr<caller_exchange> call;
+  };
+  stopping_fleet fleet(2);
+  fleet.StartAndHold();
+  fleet.store.Remove("servers/i-0");
+  fleet.RunFor(milliseconds(500));
+  std::vector<late_upload> uploads;
+  for (const int ends_at_ms : {2500, 3200, 4500, 5300}) {
+    for (const std::size_t bytes : {std::size_t{10}, std::size_t{700000}}) {
+      for (const std::string method : {"GET", "POST"}) {
+        uploads.push_back({milliseconds(ends_at_ms), bytes,
+                           fleet.BeginUpload(0, method, bytes)});
+      }
+    }
+  }
+  fleet.RunFor(milliseconds(50));
+  fleet.nodes[0]->BeginStop();
+  for (const late_upload& upload : uploads) {
+    fleet.net.timers.After(
+        upload.ends_at, sigc::slot<void()>([upload] {
+          upload.call->exchange->SendData(std::string(upload.bytes - 1, 'x'));
+          upload.call->exchange->SendEnd();
+        }));
+  }
+  fleet.RunFor(kStopTime);
+  for (const late_upload& upload : uploads) {
+    CAPTURE(upload.ends_at.count());
+    CAPTURE(upload.bytes);
+    CheckAllEnded({upload.call}, 503);
+  }
+  fleet.nodes.erase(0);
+  fleet.RunFor(milliseconds(100));
+  CHECK(fleet.Runs() == 0);
+}
+
+// The same for a call that ends in time whatever its upstream does.
+TEST_CASE("late in a planned stop, a call that ends in time is passed on") {
+  stopping_fleet fleet(2);
+  fleet.StartAndHold();
+  fleet.store.Remove("servers/i-0");
+  fleet.RunFor(milliseconds(500));
+  const auto upload = fleet.BeginUpload(0, "POST", 10, "4500");
+  fleet.nodes[0]->BeginStop();
+  fleet.RunFor(milliseconds(3200));
+  upload->exchange->SendData("123456789");
+  upload->exchange->SendEnd();
+  fleet.RunFor(milliseconds(300));
+  REQUIRE(fleet.held.size() == 1);
+  fleet.AnswerHeld();
+  fleet.RunFor(milliseconds(200));
+  CheckAllEnded({upload}, 200);
+}
+
 }  // namespace
 }  // namespace pimentohall::node
