Test broken answers on the whole way, through two daemons

16 malformed answers, to calls that may be repeated and that may not, reach their callers as 502 and ran once each; answers that are reset 0 to 400 ms after their part, during an upload of 7 MB, reach them as 502 or visibly cut.

--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "net_harness.h"
+#include "node_fixture.h"
 #include "pimentohall/stream.h"
 
 namespace pimentohall::stream {
@@ -318,3 +319,125 @@
 
 }  // namespace
 }  // namespace pimentohall::stream
+
+namespace pimentohall::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A caller's daemon and the upstream of another one.
+struct two_daemons : node_fleet {
+  two_daemons() : node_fleet(2) {
+    Start();
+    store.Remove("servers/i-0");
+    RunFor(milliseconds(400));
+  }
+};
+
+// Guards against MIXED on the whole way, through two daemons.
+TEST_CASE("a malformed answer of an upstream reaches its caller as 502") {
+  const std::string id = "X-Attempt-Id: ID\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string ok = id + length + "\r\nok";
+  const std::string answers[] = {
+      "HTTP/1.1 000 OK\r\n" + ok,
+      "HTTP/1.1 000 OK\r\n" + id + "\r\nto the end",
+      "HTTP/1.1 0 OK\r\n" + ok,
+      "HTTP/1.1 099 OK\r\n" + ok,
+      "HTTP/1.1 0200 OK\r\n" + ok,
+      "HTTP/1.1 600 OK\r\n" + ok,
+      "HTTP/1.1 999 OK\r\n" + ok,
+      "HTTP/1.1 200 OK\r\nA b: c\r\n" + ok,
+      "HTTP/1.1 200 OK\r\nAb : c\r\n" + ok,
+      "HTTP/1.1 200 OK\r\n Ab: c\r\n" + ok,
+      "HTTP/1.1 200 OK\r\nA\x01b: c\r\n" + ok,
+      "HTTP/1.1 200 OK\r\nAb\t: c\r\n" + ok,
+      "HTTP/1.1 200 OK\r\n" + id + "Content-Length : 2\r\n\r\nok and more",
+      "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: gzip\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\n" + id +
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nokXX0\r\n\r\n",
+      "HTTP/1.1 103 Early\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n" + ok,
+  };
+  two_daemons fleet;
+  int runs = 0;
+  for (const std::string& answer : answers) {
+    for (const std::string method : {"GET", "POST"}) {
+      CAPTURE(answer);
+      CAPTURE(method);
+      fleet.upstreams[1]->script =
+          [&answer](const std::shared_ptr<stream::server_exchange>& call,
+                    const std::string& request) {
+            std::string bytes = answer;
+            const std::size_t at = bytes.find("ID\r\n");
+            if (at != std::string::npos) bytes.replace(at, 2, request);
+            call->Connection()->SendData(bytes);
+            call->Connection()->CloseWhenSent();
+          };
+      const bool is_read = method == "GET";
+      const auto call = fleet.Call(0, method, is_read ? "/read/1" : "/write/1",
+                                   is_read ? "" : "x");
+      CHECK_FALSE(call->failed);
+      CHECK(call->status == 502);
+      ++runs;
+      CHECK(fleet.Runs() == runs);
+    }
+  }
+  fleet.upstreams[1]->script = nullptr;
+  CHECK(fleet.Call(0, "POST", "/write/1", "x")->status == 200);
+}
+
+TEST_CASE("an answer that is reset during an upload never looks complete") {
+  constexpr std::size_t kUploadBytes = 7'000'000;
+  constexpr std::size_t kPieceBytes = 20'000;
+  for (const std::size_t part : {10, 400'000}) {
+    for (const int reset_after_ms : {0, 60, 400}) {
+      CAPTURE(part);
+      CAPTURE(reset_after_ms);
+      two_daemons fleet;
+      const auto answer_normally = fleet.upstreams[1]->front.on_request;
+      fleet.upstreams[1]->front.on_request =
+          [&](const std::shared_ptr<stream::server_exchange>& call,
+              const stream::message_head& head) {
+            if (head.target == "/health") return answer_normally(call, head);
+            call->Connection()->SendData(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+                std::string(net::FindHeader(head.headers, "X-Attempt-Id")) +
+                "\r\n\r\n" + std::string(part, 'p'));
+            fleet.net.timers.After(
+                milliseconds(reset_after_ms),
+                sigc::slot<void()>(
+                    [conn = call->Connection()] { conn->Abort(); }));
+          };
+      auto upload = std::make_shared<caller_exchange>();
+      stream::message_head head;
+      head.method = "POST";
+      head.target = "/write/1";
+      head.headers = {{"Host", "a.example"},
+                      {"X-Attempt-Id", "up-" + std::to_string(++fleet.last_id)},
+                      {"X-Deadline-Ms", "2000"},
+                      {"Authorization", "Token key-1"}};
+      head.framing = stream::body_framing::kLength;
+      head.length = kUploadBytes;
+      fleet.StartExchange(0, head, upload);
+      std::size_t sent = 0;
+      sigc::connection sender = fleet.net.timers.Every(
+          milliseconds(2), sigc::slot<void()>([&] {
+            const std::size_t size = std::min(kPieceBytes, kUploadBytes - sent);
+            if (upload->ended || size == 0) return;
+            upload->exchange->SendData(std::string(size, 'u'));
+            sent += size;
+          }));
+      CHECK(fleet.net.RunUntil([&upload] { return upload->ended; }));
+      sender.disconnect();
+      // Of an answer that wasn't passed on yet, nothing is.
+      if (upload->failed) {
+        CHECK(part > kPieceBytes);
+      } else {
+        CHECK(upload->status == 502);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace pimentohall::node
