--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -159,6 +159,12 @@
   RemoveRunning(*call);
   call->exchange = nullptr;
   fleet_.metrics.ObserveUpstream("failed", now - call->started);
+  if (failure == stream::failure::kBadAnswer) {
+    net::Log(core::log_level::kWarning, "answer of the upstream is malformed",
+             {{"request", call->caller_id},
+              {"attempt", call->info.attempt},
+              {"upstream", call->upstream}});
+  }
   if (call->streams_answer) {
     // The ingress must detect that the answer is truncated.
     LogEnd(*call, outcome::kMayHaveRun, core::reason::kConnectionLost);
