--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -122,7 +122,9 @@
     for (const std::size_t at : {std::size_t{0}, std::size_t{7}, name.size()}) {
       for (const std::string& before :
            {std::string(), std::string("Server: x\r\n")}) {
-        std::string answer = "HTTP/1.1 200 OK\r\n" + before + name;
+        std::string answer = "HTTP/1.1 200 OK\r\n";
+        answer += before;
+        answer += name;
         answer.insert(answer.size() - name.size() + at, 1, byte);
         answer += ": 2\r\n\r\nok and more";
         pool_fixture f;
