Read no body behind an answer with status 204 or 304

Cause: http-parser reads a body by its fields, whatever the status.

Change: an answer with status 204 or 304 ends with its head (RFC 9112, section 6.3) and is passed on without a length. Bytes behind it are treated as those behind any complete answer: they are dropped with the connection.

Evidence: 24 answers with and without a length, chunks and bytes behind the head.

--- a/src/stream/connection.cc
+++ b/src/stream/connection.cc
@@ -250,18 +250,24 @@
     if (net::FindLengthProblem(head_.headers) != nullptr) return -1;
     syntax_.BeginBody((state_.flags & F_CHUNKED) != 0);
     head_.close = http_should_keep_alive(&state_) == 0;
-    if ((state_.flags & F_CHUNKED) != 0) {
+    // Such answers end with their head, whatever their fields say (RFC 9112,
+    // section 6.3).
+    const bool has_no_body =
+        !is_request && (head_.status == 204 || head_.status == 304);
+    if (has_no_body) {
+      head_.framing = body_framing::kNone;
+    } else if ((state_.flags & F_CHUNKED) != 0) {
       head_.framing = body_framing::kChunked;
     } else if ((state_.flags & F_CONTENTLENGTH) != 0) {
       head_.framing = body_framing::kLength;
       head_.length = state_.content_length;
-    } else if (!is_request && !answers_head_request_ && head_.status != 204 &&
-               head_.status != 304) {
+    } else if (!is_request && !answers_head_request_) {
       head_.framing = body_framing::kChunked;
       head_.ends_with_connection = true;
       head_.close = true;
     }
-    const bool no_body = !is_request && answers_head_request_;
+    const bool skips_body =
+        has_no_body || (!is_request && answers_head_request_);
     head_.keep_alive_s =
         KeepAliveSeconds(net::FindHeader(head_.headers, "Keep-Alive"));
     head_.expects_continue =
@@ -273,7 +279,7 @@
     head_memory_ = 0;
     if (const auto handler = owner_->on_head) handler(std::move(head_));
     if (!owner_->IsOpen()) return -1;
-    return no_body ? 1 : 0;
+    return skips_body ? 1 : 0;
   }
 
   int OnBody(const char* bytes, std::size_t size) {
--- a/testing/unit/broken_answer_test.cc
+++ b/testing/unit/broken_answer_test.cc
@@ -14,6 +14,7 @@
 // What a client saw of one request.
 struct seen_answer {
   int status = 0;
+  body_framing framing = body_framing::kNone;
   std::string body;
   bool ended = false;
   std::optional<failure> failed;
@@ -28,6 +29,7 @@
     exchange_handlers handlers;
     handlers.on_head = [seen](const message_head& answer) {
       seen->status = answer.status;
+      seen->framing = answer.framing;
     };
     handlers.on_data = [seen](std::string_view bytes) {
       seen->body.append(bytes);
@@ -260,6 +262,34 @@
   }
 }
 
+// Guards against a body behind an answer that has none for its receiver, who
+// would read it as the start of the next answer.
+TEST_CASE("an answer with status 204 or 304 has no body") {
+  const std::string fields[] = {"", "Content-Length: 0\r\n",
+                                "Content-Length: 2\r\n",
+                                "Transfer-Encoding: chunked\r\n"};
+  const std::string behind[] = {"", "ok", "2\r\nok\r\n0\r\n\r\n"};
+  for (const int status : {204, 304}) {
+    for (const std::string& field : fields) {
+      for (const std::string& bytes : behind) {
+        CAPTURE(status);
+        CAPTURE(field);
+        CAPTURE(bytes);
+        pool_fixture f;
+        std::string answer = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+        answer += field;
+        answer += "\r\n";
+        answer += bytes;
+        const auto seen = f.Get(answer);
+        CHECK(seen->ended);
+        CHECK(seen->status == status);
+        CHECK(seen->framing == body_framing::kNone);
+        CHECK(seen->body.empty());
+      }
+    }
+  }
+}
+
 // How an upload goes on while its answer is cut.
 struct upload_plan {
   std::size_t piece;    // Bytes written at a time.
