Show the copy's place in the source's history beside the source's own

The store's stand-in learns eras: it can come back from an older copy. Nothing is decided by the era yet.

Evidence: platform_test, "answers tell the era of the store".

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -213,6 +213,30 @@
   std::set<std::string> zones_out_;
 };
 
+// ---------------------------------------------------------------------------
+// The source's history.
+
+// A place in the source's history. A source that comes back from an older copy
+// loses its newest changes and gives their revisions out again, for others;
+// each time its era rises by one. Positions are ordered by era, then by
+// revision.
+struct source_position {
+  std::uint64_t era = 0;  // 0: unknown, or a source that has no eras.
+  std::uint64_t revision = 0;
+  friend bool operator==(const source_position& a, const source_position& b);
+  friend bool operator<(const source_position& a, const source_position& b);
+  friend bool operator>(const source_position& a, const source_position& b) {
+    return b < a;
+  }
+  friend bool operator<=(const source_position& a, const source_position& b) {
+    return !(b < a);
+  }
+};
+// As text: "revision" without an era, otherwise "era.revision".
+std::string ToText(const source_position& position);
+// Larger ones are invalid: news have 24 bits for the era.
+inline constexpr std::uint64_t kMaxSourceEra = (std::uint64_t{1} << 24U) - 1;
+
 // ---------------------------------------------------------------------------
 // News between daemons.
 
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -154,6 +154,7 @@
   std::vector<source_item> items;
   bool has_more = false;       // Further pages follow.
   std::uint64_t revision = 0;  // The source's revision when it answered.
+  std::uint64_t era = 0;       // See `mesh::source_position`.
 };
 
 enum class source_problem {
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -132,6 +132,8 @@
 
 // Milliseconds as text for log fields.
 std::string MsText(duration time);
+// An area's name in logs, metrics and state.
+const char* AreaName(source_area area);
 
 }  // namespace pimentohall::node
 
--- a/src/node/ingress.cc
+++ b/src/node/ingress.cc
@@ -36,6 +36,10 @@
 
 }  // namespace
 
+const char* AreaName(source_area area) {
+  return area == source_area::kSettings ? "settings" : "upstreams";
+}
+
 std::string MsText(duration time) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -494,6 +494,10 @@
       fleet_.metrics.SetListener({name, server->Connections(),
                                   server->ClientBytes(), server->Counts()});
     }
+    for (const source_area area : kSourceAreas) {
+      fleet_.metrics.SetSourcePosition(
+          AreaName(area), {0, mirror_.Revision(area)}, mirror_.Answered(area));
+    }
     return fleet_.metrics.Render(gauges);
   }
 
@@ -506,6 +510,11 @@
     state["ready"] = IsReady();
     state["config_version"] = fleet_.config ? fleet_.config->Version() : 0;
     state["reads_source"] = mirror_.IsReading();
+    for (const source_area area : kSourceAreas) {
+      state["source"][AreaName(area)] = {
+          {"copy", std::to_string(mirror_.Revision(area))},
+          {"answered", mesh::ToText(mirror_.Answered(area))}};
+    }
     state["zones_out"] = zones_out_;
     for (const auto& [id, entry] : fleet_.directory.Entries()) {
       state["upstreams"][id] = {
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -56,6 +56,11 @@
                        "Nested calls and runs refused for their sake.")),
       source_(Counters("pimentohall_source_answers_total",
                        "Answers of the configuration source, by result.")),
+      source_eras_(Gauges("pimentohall_source_era",
+                          "Era of the source, by area: of the copy, and as "
+                          "last answered; 0: none.")),
+      source_revisions_(Gauges("pimentohall_source_revision",
+                               "Revision of the source, likewise.")),
       rank_refusals_(
           Counters("pimentohall_rank_refusals_total",
                    "Calls not sent because no upstream takes their rank.")),
@@ -156,6 +161,18 @@
   nested_->Add({{"event", event}}).Increment();
 }
 
+void node_metrics::SetSourcePosition(const char* area,
+                                     const mesh::source_position& copy,
+                                     const mesh::source_position& answered) {
+  const std::pair<const char*, const mesh::source_position&> places[] = {
+      {"copy", copy}, {"answered", answered}};
+  for (const auto& [of, place] : places) {
+    const prometheus::Labels labels = {{"area", area}, {"of", of}};
+    source_eras_->Add(labels).Set(static_cast<double>(place.era));
+    source_revisions_->Add(labels).Set(static_cast<double>(place.revision));
+  }
+}
+
 void node_metrics::CountSource(const char* result) {
   source_->Add({{"result", result}}).Increment();
 }
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "pimentohall/core.h"
+#include "pimentohall/mesh.h"
 #include "pimentohall/stream.h"
 
 namespace pimentohall::node {
@@ -33,6 +34,10 @@
   // a caller's call whose run needs a full service.
   void CountNested(const char* event);
   void CountSource(const char* result);
+  // An area's place in the source's history: that of the copy in force, and the
+  // one that the source's last answer named.
+  void SetSourcePosition(const char* area, const mesh::source_position& copy,
+                         const mesh::source_position& answered);
   // Counts a call that wasn't sent because no upstream takes its rank.
   void CountRankRefusal(const std::string& route);
   // Records the Retry-After that the pacer chose.
@@ -97,6 +102,8 @@
   prometheus::Family<prometheus::Counter>* attempts_;
   prometheus::Family<prometheus::Counter>* nested_;
   prometheus::Family<prometheus::Counter>* source_;
+  prometheus::Family<prometheus::Gauge>* source_eras_;
+  prometheus::Family<prometheus::Gauge>* source_revisions_;
   prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -63,10 +63,6 @@
 // Allows for a configuration of some thousands of routes.
 constexpr std::size_t kMaxValueBytes = 8 * 1024 * 1024;
 
-const char* AreaName(source_area area) {
-  return area == source_area::kSettings ? "settings" : "upstreams";
-}
-
 // A revision names one value of a key, so the value isn't hashed.
 std::uint64_t ItemHash(const source_item& item) {
   return XXH64(item.key.data(), item.key.size(), item.revision);
@@ -191,7 +187,7 @@
 }
 
 void source_mirror::OnPage(area_state* state, source_page page) {
-  OnAnswered(state);
+  OnAnswered(state, page);
   const bool may_be_stale = state->quality == read_consistency::kAllowStale;
   std::string last;
   std::uint64_t newest = 0;
@@ -262,7 +258,7 @@
 }
 
 void source_mirror::OnEvents(area_state* state, source_page page) {
-  OnAnswered(state);
+  OnAnswered(state, page);
   bool changed = false;
   for (source_item& item : page.items) {
     // A peer may have told of newer changes while the answer was on its way.
@@ -290,8 +286,9 @@
       delay, sigc::slot<void()>([this, state] { Watch(state); }));
 }
 
-void source_mirror::OnAnswered(area_state* state) {
+void source_mirror::OnAnswered(area_state* state, const source_page& page) {
   const instant now = fleet_.loop.Now();
+  state->answered = {page.era, page.revision};
   answered_at_ = now;
   state->failures = 0;
   fleet_.metrics.CountSource("answered");
@@ -410,7 +407,13 @@
                             std::uint64_t revision,
                             std::uint64_t change_revision,
                             duration expiry_grace) {
-  if (state->complete && revision < state->revision) return;
+  if (state->complete && revision < state->revision) {
+    net::Log(core::log_level::kWarning, "older copy of the source ignored",
+             {{"area", AreaName(state->area)},
+              {"revision", std::to_string(revision)},
+              {"own_revision", std::to_string(state->revision)}});
+    return;
+  }
   std::vector<std::string> missing;
   for (const auto& [key, held] : state->items) {
     // The copy says nothing of changes after its revision.
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -56,6 +56,10 @@
   }
   // The copy contains all changes up to this revision.
   std::uint64_t Revision(source_area area) const { return At(area).revision; }
+  // The place in the source's history that its last answer named.
+  const mesh::source_position& Answered(source_area area) const {
+    return At(area).answered;
+  }
   // This daemon watches all areas, and the source answers in time.
   bool IsReading() const;
   // A watch is open that will deliver the next change.
@@ -109,8 +113,9 @@
     std::string packed;
     // Revisions of the newest removals that this daemon learned of, by key.
     std::map<std::string, std::uint64_t> removals;
-    bool reading = false;   // A read is in flight.
-    bool watching = false;  // A watch is in flight.
+    mesh::source_position answered;  // Place of the source's last answer.
+    bool reading = false;            // A read is in flight.
+    bool watching = false;           // A watch is in flight.
     bool connected = false;
     bool loss_logged = false;
     instant lost_at{};
@@ -145,7 +150,7 @@
   void Watch(area_state* state);
   void OnEvents(area_state* state, source_page page);
   void OnProblem(area_state* state, source_problem problem);
-  void OnAnswered(area_state* state);
+  void OnAnswered(area_state* state, const source_page& page);
   // Replaces all items and reports the differences to `on_item`.
   // `change_revision`: see `ChangeRevision`; 0 if the items show it.
   void Replace(area_state* state, std::map<std::string, source_item> items,
--- a/testing/store_standin/store.cc
+++ b/testing/store_standin/store.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "http_standin/http_server.h"
 
@@ -80,6 +81,36 @@
 
 void store_standin::SetMode(store_mode mode) { mode_ = mode; }
 
+std::shared_ptr<const store_standin::copy> store_standin::Copy() const {
+  return std::make_shared<copy>(copy{revision_, oldest_, items_, history_});
+}
+
+void store_standin::Restore(const copy& from) {
+  CutWatches();
+  revision_ = from.revision;
+  oldest_ = from.oldest;
+  items_ = from.items;
+  history_ = from.history;
+  if (era_ != 0) ++era_;
+}
+
+void store_standin::CutWatches() {
+  for (watch* each : std::exchange(watches_, {})) {
+    event_free(each->timer);
+    evhttp_connection_free(evhttp_request_get_connection(each->request));
+    delete each;
+  }
+}
+
+void store_standin::Answer(evhttp_request* request, int status,
+                           const std::string& body) {
+  if (era_ != 0) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
+                      std::to_string(era_).c_str());
+  }
+  Reply(request, status, body);
+}
+
 void store_standin::OnRequest(evhttp_request* request, void* self) {
   static_cast<store_standin*>(self)->Serve(request);
 }
@@ -88,15 +119,15 @@
   ++calls_;
   switch (mode_) {
     case store_mode::kBusy:
-      Reply(request, 503, "{}");
+      Answer(request, 503, "{}");
       return;
     case store_mode::kLimited:
-      Reply(request, 429, "{}");
+      Answer(request, 429, "{}");
       return;
     case store_mode::kSilent:
       return;
     case store_mode::kGarbage:
-      Reply(request, 200, "{\"items\":[{\"key\":7}],\"events\":3}");
+      Answer(request, 200, "{\"items\":[{\"key\":7}],\"events\":3}");
       return;
     case store_mode::kServing:
       break;
@@ -111,7 +142,7 @@
     ServeWatch(request, prefix, std::stoull("0" + after),
                std::stoi("0" + Value(query, "waitMs")));
   } else {
-    Reply(request, 404, "{}");
+    Answer(request, 404, "{}");
   }
 }
 
@@ -133,16 +164,16 @@
                      {"createRevision", at.created},
                      {"lease", 0}});
   }
-  Reply(request, 200,
-        json{{"items", items}, {"truncated", truncated}, {"asOf", revision_}}
-            .dump());
+  Answer(request, 200,
+         json{{"items", items}, {"truncated", truncated}, {"asOf", revision_}}
+             .dump());
 }
 
 void store_standin::ServeWatch(evhttp_request* request,
                                const std::string& prefix, std::uint64_t after,
                                int wait_ms) {
-  if (after < oldest_) {
-    Reply(request, 410, "{}");
+  if (after < oldest_ || after > revision_) {
+    Answer(request, 410, "{}");
     return;
   }
   auto* const added = new watch{request, prefix, after, nullptr, this};
@@ -170,8 +201,8 @@
     events.push_back(std::move(event));
   }
   if (events.empty() && !time_over) return false;
-  Reply(which->request, 200,
-        json{{"events", events}, {"asOf", revision_}}.dump());
+  Answer(which->request, 200,
+         json{{"events", events}, {"asOf", revision_}}.dump());
   event_free(which->timer);
   delete which;
   return true;
--- a/testing/store_standin/store.h
+++ b/testing/store_standin/store.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +41,19 @@
   // Drops the history; waiting watches are cut.
   void Compact();
   void SetMode(store_mode mode);
+
+  // Everything that the store holds at one moment.
+  struct copy;
+  std::shared_ptr<const copy> Copy() const;
+  // The store comes back from an older copy: what was written since is gone,
+  // and its revisions are given out again. Waiting watches are cut, and watches
+  // from a revision that the copy doesn't have get 410.
+  void Restore(const copy& from);
+  // All answers tell the era, which rises with each `Restore`. Without a call
+  // of this, none does.
+  void SetEra(std::uint64_t era) { era_ = era; }
+  std::uint64_t Era() const { return era_; }
+  std::uint64_t Revision() const { return revision_; }
   // Reads that may lag get the items as they are now, from now on.
   void FreezeLaggingReads() { lagging_ = items_; }
   void SetPageSize(std::size_t items) { page_size_ = items; }
@@ -75,6 +89,8 @@
   // Answers the watch if it has events, or if its time is over.
   bool Finish(watch* which, bool time_over);
   void Notify();
+  void CutWatches();
+  void Answer(evhttp_request* request, int status, const std::string& body);
 
   event_base* base_;
   evhttp* http_;
@@ -83,6 +99,7 @@
   std::size_t page_size_ = 500;
   std::uint64_t revision_ = 100;
   std::uint64_t oldest_ = 100;  // Changes after this are held.
+  std::uint64_t era_ = 0;       // 0: answers don't tell.
   int calls_ = 0;
   std::map<std::string, item> items_;
   std::optional<std::map<std::string, item>> lagging_;
@@ -90,6 +107,13 @@
   std::vector<watch*> watches_;
 };
 
+struct store_standin::copy {
+  std::uint64_t revision = 0;
+  std::uint64_t oldest = 0;
+  std::map<std::string, item> items;
+  std::vector<change> history;
+};
+
 }  // namespace pimentohall::testing
 
 #endif  // PIMENTOHALL_TESTING_STORE_STANDIN_STORE_H_
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -343,6 +343,28 @@
       MakeReader(net.loop, net.timers, {"127.0.0.1", store.Port()});
 };
 
+// Guards against a store that came back from an older copy and isn't known to
+// have done so.
+TEST_CASE("answers tell the era of the store") {
+  reader_fixture f;
+  f.store.Put("servers/a", "v");
+  CHECK(f.Read()->era == 0);
+  f.store.SetEra(3);
+  const auto copy = f.store.Copy();
+  const std::uint64_t lost = f.store.Put("servers/b", "v");
+  CHECK(f.Read()->era == 3);
+  f.store.Restore(*copy);
+  const auto page = f.Read();
+  REQUIRE(page);
+  CHECK(page->era == 4);
+  CHECK(page->revision < lost);
+  CHECK(page->items.size() == 1);
+  CHECK(f.Watch(lost, {}).error() == node::source_problem::kHistoryGone);
+  CHECK(f.Watch(page->revision, {})->era == 4);
+  f.store.SetEra(mesh::kMaxSourceEra + 1);
+  CHECK(f.Read().error() == node::source_problem::kMalformed);
+}
+
 TEST_CASE("pages, watches and lost history") {
   reader_fixture f;
   f.store.SetPageSize(2);
