--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -9,17 +9,12 @@
 #include <event2/event.h>
 
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
-#include "fleet/child_process.h"
-#include "fleet/ports.h"
-#include "soak/proxy.h"
-#include "soak/upstream.h"
+#include "soak/vm_process.h"
 #include "store_standin/store.h"
 
 namespace pimentohall::testing {
@@ -34,45 +29,23 @@
 constexpr milliseconds kDrainBound(2000);
 constexpr milliseconds kGrace(6000);
 constexpr milliseconds kCalm(3000);
-constexpr milliseconds kRouteTimeout(1500);
 constexpr milliseconds kLateSlack(500);
 constexpr milliseconds kCallerPatience(4000);
 constexpr milliseconds kWarmUp(2500);
 constexpr milliseconds kRecovery(6000);
 constexpr milliseconds kLastPhase(3000);
 constexpr double kServedAfterRecovery = 0.95;
-constexpr int kZones = 3;
 constexpr int kOtherRoutes = 100;  // Some 20 KB of settings.
 
-enum port {
-  kCallers,
-  kPeers,
-  kNews,
-  kReady,
-  kAdmin,
-  kUpstream,
-  kStore,
-  kBehind,
-  kPorts
-};
-
-struct vm {
-  int index = 0;
-  std::string address;
-  child_process process;
+struct vm : vm_process {
   bool paused = false;
-  int start = 0;  // Of the upstream.
   bool listed = false;
   instant left_at{};          // Its entry said that it leaves.
   instant disturbed_until{};  // Of the daemon's process.
-  int boot = 0;
   // Newest key of the changing tenant that this boot accepted, and when.
   int accepted_key = 0;
   instant accepted_at{};
   std::optional<instant> stopping_since;
-  std::unique_ptr<tcp_proxy> store_proxy;
-  std::unique_ptr<tcp_proxy> upstream_proxy;
-  std::unique_ptr<soak_upstream> upstream;
 };
 
 struct soak_call {
@@ -118,84 +91,30 @@
 
   bool SetUp() {
     std::filesystem::create_directories(options_.folder);
-    const auto ports = FindFreePorts(kPorts);
-    if (!ports) {
+    if (!fleet_.ClaimPorts()) {
       Violation("set-up", "no free ports");
       return false;
     }
-    first_port_ = *ports;
     PutConfiguration();
     for (int i = 0; i < options_.daemons; ++i) {
       auto at = std::make_unique<vm>();
-      at->index = i;
-      at->address = "127." + std::to_string(1 + options_.seed % 250) + "." +
-                    std::to_string(1 + i / 200) + "." +
-                    std::to_string(1 + i % 200);
-      at->store_proxy = std::make_unique<tcp_proxy>(
-          loop_, timers_, net::endpoint{at->address, Port(kStore)},
-          net::endpoint{"127.0.0.1", store_.Port()});
-      at->upstream_proxy = std::make_unique<tcp_proxy>(
-          loop_, timers_, net::endpoint{at->address, Port(kUpstream)},
-          net::endpoint{at->address, Port(kBehind)});
-      at->upstream = std::make_unique<soak_upstream>(
-          loop_, timers_, net::endpoint{at->address, Port(kBehind)}, &runs_,
-          options_.seed * 1000 + static_cast<std::uint64_t>(i));
-      if (!at->store_proxy->Open() || !at->upstream_proxy->Open() ||
-          !at->upstream->Open()) {
+      if (!fleet_.Open(at.get(), i, &runs_)) {
         Violation("set-up", "can't listen at " + at->address);
         return false;
       }
       vms_.push_back(std::move(at));
       List(vms_.back().get());
-      WriteSettings(*vms_.back());
+      fleet_.WriteSettings(*vms_.back());
     }
     for (const auto& each : vms_) StartDaemon(each.get());
     return true;
   }
 
-  int Port(port which) const { return first_port_ + which; }
-
-  std::string SettingsFile(const vm& of) const {
-    return options_.folder + "/vm-" + std::to_string(of.index) + ".json";
-  }
-
-  static std::string ZoneOf(const vm& of) {
-    return "zone-" + std::to_string(of.index % kZones);
-  }
-
-  void WriteSettings(const vm& of) {
-    const auto at = [&](port which) {
-      return of.address + ":" + std::to_string(Port(which));
-    };
-    const json settings = {
-        {"name", "vm-" + std::to_string(of.index)},
-        {"zone", ZoneOf(of)},
-        {"zones", {{"zone-0", "r"}, {"zone-1", "r"}, {"zone-2", "r"}}},
-        {"service", "ledger"},
-        {"callers", at(kCallers)},
-        {"peers", at(kPeers)},
-        {"ready", at(kReady)},
-        {"upstream", at(kUpstream)},
-        {"source", at(kStore)},
-        {"news_port", Port(kNews)},
-        {"admin_port", Port(kAdmin)},
-        {"bounds",
-         {"graceS=6", "retryBudgetRatio=0.2", "retrySlack=50",
-          "budgetWindowS=10"}}};
-    std::ofstream(SettingsFile(of)) << settings.dump(1) << "\n";
-  }
-
   void StartDaemon(vm* at) {
-    setenv("PIMENTOHALL_NODE_FILE", SettingsFile(*at).c_str(), 1);
-    auto started = child_process::Start(
-        {options_.programs + "/pimentohalld", "--platform"},
-        options_.folder + "/vm-" + std::to_string(at->index) + ".log");
-    if (!started) {
+    if (!fleet_.StartDaemon(at)) {
       Violation("set-up", "a daemon can't be started");
       return;
     }
-    at->process = std::move(*started);
-    ++at->boot;
     at->accepted_key = 0;
     at->paused = false;
     at->stopping_since.reset();
@@ -204,73 +123,30 @@
 
   void PutConfiguration() {
     ++version_;
-    json routes = json::array();
-    for (const char* kind : {"idempotent", "non_idempotent"}) {
-      const bool reads = std::string(kind) == "idempotent";
-      routes.push_back({{"name", reads ? "read" : "write"},
-                        {"host", "a.example"},
-                        {"prefix", reads ? "/read/" : "/write/"},
-                        {"kind", kind},
-                        {"timeoutMs", kRouteTimeout.count()},
-                        {"aimMs", 400},
-                        {"priority", reads ? 1 : 0},
-                        {"maxAttempts", 2},
-                        {"service", "ledger"}});
-    }
+    json routes = {RouteOf("read", true), RouteOf("write", false)};
     // Enough routes that daemons pass the settings on as patches.
     for (int i = 0; i < kOtherRoutes; ++i) {
-      json other = routes.front();
-      other["name"] = "other-" + std::to_string(i);
-      other["prefix"] = "/other-" + std::to_string(i) + "/";
-      routes.push_back(other);
+      routes.push_back(RouteOf("other-" + std::to_string(i), true));
     }
-    const json document = {
-        {"version", "r" + std::to_string(version_)},
-        {"routes", routes},
-        {"services",
-         {{{"name", "ledger"},
-           {"healthPath", "/health"},
-           {"maxConnections", 100},
-           {"warmupS", 3},
-           {"warmupPerS", 0}}}},
-        {"limits",
-         {{"maxHeaderBytes", 16384},
-          {"maxBodyBytes", 8000000},
-          {"headerTimeoutMs", 3000},
-          {"idleTimeoutMs", 15000}}},
-        {"tenants",
-         {{{"name", "steady"}, {"apiKeys", {"steady"}}, {"ratePerS", 0}},
-          {{"name", "changing"},
-           {"apiKeys", {"key-" + std::to_string(key_)}},
-           {"ratePerS", 0}}}}};
-    store_.Put("op/config", document.dump());
+    const json tenants = {
+        {{"name", "steady"}, {"apiKeys", {"steady"}}, {"ratePerS", 0}},
+        {{"name", "changing"},
+         {"apiKeys", {"key-" + std::to_string(key_)}},
+         {"ratePerS", 0}}};
+    store_.Put("op/config",
+               ConfigurationDocument(version_, routes, tenants).dump());
   }
 
   // A new start of the upstream, and its entry.
   void List(vm* at) {
     ++at->start;
-    at->upstream->SetStart(StartOf(*at));
+    at->upstream->SetStart(at->Start());
     at->listed = true;
     PutEntry(*at, "ready");
   }
 
-  static std::string StartOf(const vm& of) {
-    return "i-" + std::to_string(of.index) + "-" + std::to_string(of.start);
-  }
-
   void PutEntry(const vm& of, const char* state) {
-    store_.Put(
-        "servers/" + StartOf(of),
-        json{{"service", "ledger"},
-             {"address", of.address + ":" + std::to_string(Port(kUpstream))},
-             {"zone", ZoneOf(of)},
-             {"version", "v1"},
-             {"slots", 6},
-             {"state", state},
-             {"warmupLeftMs", 0},
-             {"sequence", of.start},
-             {"born", 1000000 + of.start}}
-            .dump());
+    store_.Put("servers/" + of.Start(), fleet_.Entry(of, state).dump());
   }
 
   // -------------------------------------------------------------------------
@@ -358,7 +234,8 @@
       EndCall(call);
     };
     call->exchange =
-        callers_.Start({at.address, Port(kCallers)}, head, std::move(handlers));
+        callers_.Start({at.address, fleet_.Port(vm_port::kCallers)}, head,
+                       std::move(handlers));
     if (call->exchange == nullptr) return;
     call->exchange->SendData(body);
     call->exchange->SendEnd();
@@ -504,15 +381,14 @@
       const auto status = at->process.WaitExit(milliseconds(0));
       if (!status && !over) return;
       if (!status && at->disturbed_until < *at->stopping_since) {
-        Violation("still there after the grace time",
-                  "vm-" + std::to_string(at->index));
+        Violation("still there after the grace time", at->Name());
       }
       at->process.Kill();
       StartDaemon(at);
       return;
     }
     if (at->process.IsRunning()) return;
-    Violation("ended by itself", "vm-" + std::to_string(at->index));
+    Violation("ended by itself", at->Name());
     StartDaemon(at);
   }
 
@@ -555,13 +431,10 @@
     });
   }
 
-  static std::string Name(const vm& of) {
-    return "vm-" + std::to_string(of.index);
-  }
-
   void PauseDaemon(vm* at, milliseconds time) {
     if (at->paused || at->stopping_since) return;
-    Note("pause " + Name(*at) + " for " + std::to_string(time.count()) + " ms");
+    Note("pause " + at->Name() + " for " + std::to_string(time.count()) +
+         " ms");
     at->paused = true;
     Disturb(at, time + kCalm);
     at->process.Signal(SIGSTOP);
@@ -574,7 +447,7 @@
 
   void KillDaemon(vm* at, milliseconds time) {
     if (at->paused) return;
-    Note("kill " + Name(*at));
+    Note("kill " + at->Name());
     at->process.Kill();
     at->stopping_since.reset();
     Disturb(at, kCalm);
@@ -592,15 +465,15 @@
 
   void StopDaemon(vm* at, milliseconds) {
     if (at->paused || at->stopping_since) return;
-    Note("stop " + Name(*at));
+    Note("stop " + at->Name());
     at->stopping_since = loop_.Now();
     at->process.Signal(SIGTERM);
   }
 
   void ReloadDaemon(vm* at, milliseconds) {
     if (at->paused) return;
-    Note("reload " + Name(*at));
-    WriteSettings(*at);
+    Note("reload " + at->Name());
+    fleet_.WriteSettings(*at);
     at->process.Signal(SIGHUP);
   }
 
@@ -632,36 +505,36 @@
 
   void HarmStoreLink(vm* at, milliseconds time) {
     DisturbFleet(time + kCalm);
-    HarmLink(at->store_proxy.get(), time, "the store's link of " + Name(*at));
+    HarmLink(at->store_proxy.get(), time, "the store's link of " + at->Name());
   }
 
   void HarmUpstreamLink(vm* at, milliseconds time) {
     DisturbFleet(time + kCalm);
     HarmLink(at->upstream_proxy.get(), time,
-             "the upstream's link of " + Name(*at));
+             "the upstream's link of " + at->Name());
   }
 
   void HarmUpstream(vm* at, milliseconds time) {
     const auto fault = static_cast<upstream_fault>(Draw(1, 7));
     Note("upstream fault " + std::to_string(static_cast<int>(fault)) + " at " +
-         Name(*at));
+         at->Name());
     DisturbFleet(time + kCalm);
     at->upstream->SetFault(fault);
     After(time, [at] { at->upstream->SetFault(upstream_fault::kNone); });
   }
 
   void Leave(vm* at) {
-    left_[StartOf(*at)] = loop_.Now();
+    left_[at->Start()] = loop_.Now();
     at->listed = false;
   }
 
   void DrainUpstream(vm* at, milliseconds) {
     if (!at->listed) return;
-    Note("drain the upstream of " + Name(*at));
+    Note("drain the upstream of " + at->Name());
     Leave(at);
     PutEntry(*at, "draining");
     After(kDrainBound + milliseconds(1500), [this, at] {
-      store_.Remove("servers/" + StartOf(*at));
+      store_.Remove("servers/" + at->Start());
       List(at);
     });
   }
@@ -669,9 +542,9 @@
   // Its entry goes without a word, and another start takes the address.
   void ReplaceUpstream(vm* at, milliseconds time) {
     if (!at->listed) return;
-    Note("replace the upstream of " + Name(*at));
+    Note("replace the upstream of " + at->Name());
     Leave(at);
-    store_.Remove("servers/" + StartOf(*at));
+    store_.Remove("servers/" + at->Start());
     After(kDrainBound + time, [this, at] { List(at); });
   }
 
@@ -689,7 +562,10 @@
   net::timer_service timers_{loop_};
   const instant began_ = loop_.Now();
   store_standin store_;
-  int first_port_ = 0;
+  vm_fleet fleet_{
+      loop_,
+      timers_,
+      {options_.programs, options_.folder, options_.seed, store_.Port()}};
   int version_ = 0;
   int key_ = 1;
   instant key_changed_at_{};
