Pause between calls to a source that fails a copy again and again

A store with a limit on calls would then refuse its readers.

Cause: a read that follows lost history was sent at once, whatever the read before had brought; the watch after it was refused again. Of the same class, found beside it: a watch that the source ends early and without events was repeated at once; a list that says that it goes on without advancing was taken as whole, which removed all other items, or read again and again.

Change: the first read after a watch that was answered is sent at once, as before; further ones wait 0.1 to 0.8 s, as after other failures. Early empty answers wait 0.1 s. Pages that don't advance are malformed.

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -30,6 +30,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -55,12 +56,13 @@
 // new call.
 class event_loop {
  public:
-  event_loop();
+  // `clock`: the time of `Now`, for tests in virtual time.
+  explicit event_loop(std::function<core::instant()> clock = {});
   ~event_loop();
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  // The time of CLOCK_BOOTTIME, which includes time spent in suspend.
+  // By default the time of CLOCK_BOOTTIME, which includes time spent in suspend.
   core::instant Now() const;
   // Runs until `Stop`.
   void Run();
@@ -92,6 +94,8 @@
   // Runs the timers that are due at `now`, in order of due time. The loop calls
   // this.
   void RunDue(core::instant now);
+  // When the next timer is due, if any; it may have been disconnected.
+  std::optional<core::instant> NextDue() const;
 
  private:
   class impl;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -25,7 +25,8 @@
 
 class event_loop::impl {
  public:
-  impl() {
+  explicit impl(std::function<core::instant()> clock)
+      : clock_(std::move(clock)) {
     // A write to a connection that the peer closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     base_.reset(event_base_new());
@@ -48,6 +49,14 @@
   }
 
   event_base* Base() const { return base_.get(); }
+  core::instant Now() const {
+    if (clock_) return clock_();
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return core::instant(std::chrono::duration_cast<core::duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec)));
+  }
 
  private:
   static void RunPosted(evutil_socket_t, std::int16_t, void* self) {
@@ -61,22 +70,18 @@
     static_cast<signal_entry*>(entry)->handler();
   }
 
+  const std::function<core::instant()> clock_;
   event_base_ptr base_;
   event_ptr wake_;
   std::deque<std::function<void()>> posted_;
   std::vector<std::unique_ptr<signal_entry>> signals_;
 };
 
-event_loop::event_loop() : impl_(std::make_unique<impl>()) {}
+event_loop::event_loop(std::function<core::instant()> clock)
+    : impl_(std::make_unique<impl>(std::move(clock))) {}
 event_loop::~event_loop() = default;
 
-core::instant event_loop::Now() const {
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return core::instant(std::chrono::duration_cast<core::duration>(
-      std::chrono::seconds(time.tv_sec) +
-      std::chrono::nanoseconds(time.tv_nsec)));
-}
+core::instant event_loop::Now() const { return impl_->Now(); }
 
 void event_loop::Run() {
   event_base_loop(impl_->Base(), EVLOOP_NO_EXIT_ON_EMPTY);
--- a/src/net/timer_service.cc
+++ b/src/net/timer_service.cc
@@ -49,6 +49,11 @@
     Arm();
   }
 
+  std::optional<core::instant> NextDue() const {
+    if (queue_.empty()) return std::nullopt;
+    return queue_.begin()->first;
+  }
+
  private:
   static void OnWake(evutil_socket_t, short, void* self) {
     auto* timers = static_cast<impl*>(self);
@@ -94,5 +99,8 @@
   return impl_->Add(delay, core::duration(0), std::move(slot));
 }
 void timer_service::RunDue(core::instant now) { impl_->RunDue(now); }
+std::optional<core::instant> timer_service::NextDue() const {
+  return impl_->NextDue();
+}
 
 }  // namespace pimentohall::net
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -38,6 +38,9 @@
 // in the meantime.
 constexpr duration kBatchDelay = milliseconds(250);
 constexpr duration kBatchDelayPerReader = milliseconds(600);
+// An empty answer that comes sooner after its call ends a watch that the source
+// cut; the next one isn't sent at once.
+constexpr duration kMinWatchInterval = milliseconds(100);
 // Delay after a failed call; doubled with each consecutive failure.
 constexpr duration kInitialRetryDelay = milliseconds(100);
 constexpr duration kMaxRetryDelay = milliseconds(800);
@@ -82,6 +85,12 @@
   return "unreadable";
 }
 
+// Delay before the next call after this many failures in a row.
+duration RetryDelay(int failures) {
+  const int doublings = std::clamp(failures - 1, 0, 3);
+  return std::min(kMaxRetryDelay, kInitialRetryDelay * (1 << doublings));
+}
+
 }  // namespace
 
 source_mirror::source_mirror(fleet_state& fleet, source_reader& reader)
@@ -168,6 +177,7 @@
     state->read_revision.reset();
     state->quality = quality;
   }
+  state->read_after = after;
   state->call_started_at = fleet_.loop.Now();
   state->answer_deadline = state->call_started_at + kAnswerGrace;
   state->reading = true;
@@ -186,6 +196,19 @@
                    });
 }
 
+void source_mirror::Restart(area_state* state) {
+  if (state->restarts++ == 0) {
+    ReadAgain(state);
+    return;
+  }
+  state->watching = false;
+  ++state->generation;
+  state->retry_timer.disconnect();
+  state->retry_timer = fleet_.timers.After(
+      RetryDelay(state->restarts - 1),
+      sigc::slot<void()>([this, state] { ReadAgain(state); }));
+}
+
 void source_mirror::OnPage(area_state* state, source_page page) {
   OnAnswered(state, page);
   const bool may_be_stale = state->quality == read_consistency::kAllowStale;
@@ -199,8 +222,12 @@
   const std::uint64_t complete_up_to = may_be_stale ? newest : page.revision;
   state->read_revision =
       std::min(state->read_revision.value_or(complete_up_to), complete_up_to);
-  if (page.has_more && !last.empty()) {
-    Read(state, last, state->quality);
+  if (page.has_more) {
+    if (last > state->read_after) {
+      Read(state, last, state->quality);
+    } else {
+      OnProblem(state, source_problem::kMalformed);  // It would never end.
+    }
     return;
   }
   const std::uint64_t revision = *state->read_revision;
@@ -259,6 +286,7 @@
 
 void source_mirror::OnEvents(area_state* state, source_page page) {
   OnAnswered(state, page);
+  state->restarts = 0;
   bool changed = false;
   for (source_item& item : page.items) {
     // A peer may have told of newer changes while the answer was on its way.
@@ -272,15 +300,18 @@
   }
   state->revision = std::max(state->revision, page.revision);
   if (changed && on_changes_applied) on_changes_applied(state->area);
-  if (page.items.empty()) {
+  const instant now = fleet_.loop.Now();
+  if (page.items.empty() && now - state->call_started_at >= kMinWatchInterval) {
     Watch(state);
     return;
   }
-  const auto before = static_cast<int>(std::min(
-      kReaderCount, fleet_.peers.CountReadersBefore(fleet_.loop.Now())));
-  const duration delay = kBatchDelay + kBatchDelayPerReader * before;
+  const auto before = static_cast<int>(
+      std::min(kReaderCount, fleet_.peers.CountReadersBefore(now)));
+  const duration delay = page.items.empty()
+                             ? kInitialRetryDelay
+                             : kBatchDelay + kBatchDelayPerReader * before;
   ++state->generation;
-  state->answer_deadline = fleet_.loop.Now() + delay + kAnswerGrace;
+  state->answer_deadline = now + delay + kAnswerGrace;
   state->retry_timer.disconnect();
   state->retry_timer = fleet_.timers.After(
       delay, sigc::slot<void()>([this, state] { Watch(state); }));
@@ -312,7 +343,7 @@
     net::Log(core::log_level::kInfo, "source dropped its history",
              {{"area", AreaName(state->area)},
               {"revision", std::to_string(state->revision)}});
-    ReadAgain(state);
+    Restart(state);
     return;
   }
   ++state->failures;
@@ -329,9 +360,7 @@
               {"problem", ProblemName(problem)},
               {"revision", std::to_string(state->revision)}});
   }
-  const int doublings = std::clamp(state->failures - 1, 0, 3);
-  duration wait =
-      std::min(kMaxRetryDelay, kInitialRetryDelay * (1 << doublings));
+  duration wait = RetryDelay(state->failures);
   const bool is_primary = fleet_.peers.IsSelected(kReaderCount, now);
   if (is_lost && state->complete && !is_primary) wait = kStandInRetryDelay;
   state->retry_timer.disconnect();
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -127,7 +127,9 @@
     // State of the read in progress.
     read_consistency quality = read_consistency::kCurrent;
     std::map<std::string, source_item> read_items;
+    std::string read_after;                      // Key before the next page.
     std::optional<std::uint64_t> read_revision;  // Set by the first page.
+    int restarts = 0;  // Reads begun anew since a watch was last answered.
     sigc::connection retry_timer;
   };
 
@@ -150,6 +152,9 @@
   void Watch(area_state* state);
   void OnEvents(area_state* state, source_page page);
   void OnProblem(area_state* state, source_problem problem);
+  // Begins a read anew; with a growing delay if no watch was answered since the
+  // last one.
+  void Restart(area_state* state);
   void OnAnswered(area_state* state, const source_page& page);
   // Replaces all items and reports the differences to `on_item`.
   // `change_revision`: see `ChangeRevision`; 0 if the items show it.
--- a/testing/unit/source_mirror_test.cc
+++ b/testing/unit/source_mirror_test.cc
@@ -1,95 +1,10 @@
 // Tests of the copy of the source against scripted answers of the source.
 
-#include "node/source_mirror.h"
-
-#include <doctest/doctest.h>
-
-#include <deque>
-
-#include "net_harness.h"
-#include "node/call_header.h"
-#include "platform/platform.h"
+#include "mirror_fixture.h"
 
 namespace pimentohall::node {
 namespace {
 
-using std::chrono::milliseconds;
-
-// A source that answers when the test says so.
-class scripted_source : public source_reader {
- public:
-  struct watch_call {
-    std::uint64_t revision = 0;
-    handler done;
-  };
-
-  void ReadPage(source_area area, const std::string&, read_consistency,
-                duration, handler done) override {
-    reads[area].push_back(std::move(done));
-  }
-  void Watch(source_area area, std::uint64_t revision, duration, duration,
-             handler done) override {
-    watches[area].push_back({revision, std::move(done)});
-  }
-
-  void AnswerRead(source_area area, source_page page) {
-    REQUIRE(!reads[area].empty());
-    const handler done = std::move(reads[area].front());
-    reads[area].pop_front();
-    done(std::move(page));
-  }
-  void AnswerWatch(source_area area,
-                   tl::expected<source_page, source_problem> page) {
-    REQUIRE(!watches[area].empty());
-    const handler done = std::move(watches[area].front().done);
-    watches[area].pop_front();
-    done(std::move(page));
-  }
-
-  std::map<source_area, std::deque<handler>> reads;
-  std::map<source_area, std::deque<watch_call>> watches;
-};
-
-source_item Item(const std::string& key, std::uint64_t revision) {
-  return {key, key + "@" + std::to_string(revision), revision, false};
-}
-
-source_item Removal(const std::string& key, std::uint64_t revision) {
-  return {key, "", revision, true};
-}
-
-// A daemon's copy of the source, and the items that it put in force.
-struct mirrored {
-  mirrored()
-      : platform(platform::MakeAdapter(net.loop, net.timers, {"127.0.0.1", 1})),
-        fleet(net.loop, net.timers, {}, *platform.dialect, 1),
-        mirror(fleet, source) {
-    mirror.on_item = [this](source_area, const source_item& item, duration) {
-      if (item.removed) {
-        in_force.erase(item.key);
-      } else {
-        in_force[item.key] = item.revision;
-      }
-    };
-    mirror.Start();
-  }
-
-  // Answers the first reads; the settings are empty.
-  void Start(source_page upstreams) {
-    source.AnswerRead(source_area::kSettings, {{}, false, upstreams.revision});
-    source.AnswerRead(source_area::kUpstreams, std::move(upstreams));
-    REQUIRE(net.RunUntil(
-        [this] { return !source.watches[source_area::kUpstreams].empty(); }));
-  }
-
-  net::net_harness net;
-  adapter platform;
-  fleet_state fleet;
-  scripted_source source;
-  source_mirror mirror;
-  std::map<std::string, std::uint64_t> in_force;
-};
-
 // Guards against CONFIG in review/2: pages of a first read differ in age, and
 // changes between their ages were never watched for.
 TEST_CASE("a first read is complete up to its oldest page only") {
@@ -99,9 +14,8 @@
   daemon.source.AnswerRead(source_area::kUpstreams, {{Item("b", 9)}, false, 9});
   CHECK(daemon.mirror.Revision(source_area::kUpstreams) == 5);
   daemon.source.AnswerRead(source_area::kSettings, {{}, false, 9});
-  REQUIRE(daemon.net.RunUntil([&daemon] {
-    return !daemon.source.watches[source_area::kUpstreams].empty();
-  }));
+  daemon.net.RunFor(std::chrono::seconds(2));
+  REQUIRE(!daemon.source.watches[source_area::kUpstreams].empty());
   CHECK(daemon.source.watches[source_area::kUpstreams].front().revision == 5);
   daemon.source.AnswerWatch(
       source_area::kUpstreams,
@@ -200,5 +114,75 @@
   CHECK(daemon.in_force.count("c") == 1);
 }
 
+// Calls for upstreams within 2 s to a source that always answers the same.
+int CountCalls(mirrored* daemon, const std::function<source_page()>& page,
+               const tl::expected<source_page, source_problem>& events) {
+  int calls = 0;
+  auto& reads = daemon->source.reads[source_area::kUpstreams];
+  auto& watches = daemon->source.watches[source_area::kUpstreams];
+  for (int turn = 0; turn < 200; ++turn) {
+    for (int i = 0; i < 100 && !(reads.empty() && watches.empty()); ++i) {
+      ++calls;
+      if (reads.empty()) {
+        daemon->source.AnswerWatch(source_area::kUpstreams, events);
+      } else {
+        daemon->source.AnswerRead(source_area::kUpstreams, page());
+      }
+    }
+    daemon->net.RunFor(std::chrono::milliseconds(10));
+  }
+  return calls;
+}
+
+// Guards against a million calls to the source in some seconds (issue 38): a
+// watch was refused, and the next read and watch were sent at once.
+TEST_CASE("a source whose history is always gone is read with pauses") {
+  mirrored daemon;
+  daemon.Start({{Item("a", 5)}, false, 20});
+  const auto gone = tl::unexpected(source_problem::kHistoryGone);
+  // Delays of 0.1, 0.2, 0.4 and 0.8 s, and two calls after each.
+  CHECK(CountCalls(
+            &daemon,
+            [] {
+              return source_page{{Item("a", 5)}, false, 20};
+            },
+            gone) <= 12);
+  // The same while its counter is below the copy's.
+  CHECK(CountCalls(
+            &daemon,
+            [] {
+              return source_page{{Item("a", 5)}, false, 9};
+            },
+            gone) <= 12);
+}
+
+// A source that cuts a watch may answer it early and without events.
+TEST_CASE("watches that are cut at once are repeated with pauses") {
+  mirrored daemon;
+  daemon.Start({{Item("a", 5)}, false, 20});
+  CHECK(CountCalls(
+            &daemon,
+            [] {
+              return source_page{{}, false, 20};
+            },
+            source_page{{}, false, 20}) <= 22);
+}
+
+// Guards against a list that is taken for whole though the source says that it
+// isn't, and against reading the same page for ever.
+TEST_CASE("a list whose pages don't advance is no list") {
+  const auto area = source_area::kUpstreams;
+  mirrored daemon;
+  daemon.Start({{Item("a", 5)}, false, 20});
+  daemon.source.AnswerWatch(area, tl::unexpected(source_problem::kHistoryGone));
+  daemon.source.AnswerRead(area, {{}, true, 30});
+  CHECK(daemon.source.reads[area].empty());
+  CHECK(daemon.in_force.count("a") == 1);
+  daemon.net.RunFor(std::chrono::milliseconds(200));
+  daemon.source.AnswerRead(area, {{Item("a", 5)}, true, 30});
+  daemon.source.AnswerRead(area, {{Item("a", 5)}, true, 30});
+  CHECK(daemon.source.reads[area].empty());
+}
+
 }  // namespace
 }  // namespace pimentohall::node
