--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -171,6 +171,7 @@
   bool draining = false;
   duration warmup_left{0};    // As of the time the entry was read.
   std::uint64_t born_ms = 0;  // Unix time of the start; 0: unknown.
+  std::uint64_t reports = 0;  // The upstream's own count since its start.
   std::uint64_t revision = 0;
   friend bool operator==(const upstream& a, const upstream& b);
 };
@@ -190,6 +191,8 @@
   // Called when the entry was removed at the source. Keeps it for `grace`
   // unless it is draining.
   void Remove(const std::string& id, duration grace, instant now);
+  // The same entry has another revision now.
+  void SetRevision(const std::string& id, std::uint64_t revision);
   // Deletes the entry at once: it no longer describes an upstream.
   void Drop(const std::string& id);
   // Deletes missing entries whose grace period has ended; true if any did.
@@ -234,8 +237,8 @@
 };
 // As text: "revision" without an era, otherwise "era.revision".
 std::string ToText(const source_position& position);
-// Larger ones are invalid: news have 24 bits for the era.
-inline constexpr std::uint64_t kMaxSourceEra = (std::uint64_t{1} << 24U) - 1;
+// Larger ones are invalid: news have 20 bits for the era.
+inline constexpr std::uint64_t kMaxSourceEra = (std::uint64_t{1} << 20U) - 1;
 
 // ---------------------------------------------------------------------------
 // News between daemons.
@@ -289,9 +292,10 @@
   // Of the last news that the sender got from the receiver.
   std::uint64_t heard_sequence = 0;
   std::uint32_t heard_boot = 0;
-  // Revisions of the newest known change in each area of the source.
-  std::uint64_t settings_revision = 0;
-  std::uint64_t upstreams_revision = 0;
+  // Positions of the newest known change in each area of the source. Of two
+  // eras only the newer one is sent; the other area's position is then zero.
+  source_position settings_position;
+  source_position upstreams_position;
   bool reads_source = false;  // The source answers this daemon's own reads.
   std::optional<load_news> load;
   std::vector<tenant_count> admitted;
@@ -355,8 +359,8 @@
     duration silence = kSilenceTimeout;
     bool stopping = false;
     bool reads_source = false;
-    std::uint64_t settings_revision = 0;
-    std::uint64_t upstreams_revision = 0;
+    source_position settings_position;
+    source_position upstreams_position;
     std::uint64_t uptime_ms = 0;
   };
   // Effect of news: kStale is older than what is known, kReturned ends a
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -162,6 +162,7 @@
   kRefused,      // The source refused the call.
   kHistoryGone,  // The source has compacted the requested history: read anew.
   kMalformed,    // The answer is malformed.
+  kOlderEra,     // The answer is of an earlier era than others.
 };
 
 // The consistency that a read requires.
--- a/src/mesh/directory.cc
+++ b/src/mesh/directory.cc
@@ -8,7 +8,8 @@
   return a.id == b.id && a.service == b.service && a.address == b.address &&
          a.port == b.port && a.zone == b.zone && a.slots == b.slots &&
          a.draining == b.draining && a.warmup_left == b.warmup_left &&
-         a.born_ms == b.born_ms && a.revision == b.revision;
+         a.born_ms == b.born_ms && a.reports == b.reports &&
+         a.revision == b.revision;
 }
 
 void directory::Put(const upstream& listed, instant now) {
@@ -29,6 +30,11 @@
   }
 }
 
+void directory::SetRevision(const std::string& id, std::uint64_t revision) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) found->second.what.revision = revision;
+}
+
 void directory::Drop(const std::string& id) { entries_.erase(id); }
 
 bool directory::Expire(instant now) {
--- a/src/mesh/news_codec.cc
+++ b/src/mesh/news_codec.cc
@@ -13,6 +13,12 @@
 using nlohmann::json;
 
 constexpr std::size_t kFields = 14;
+// The upper bits of the sequence hold the era of the positions. Daemons of
+// earlier versions, which require exactly these fields, see a sequence that
+// rises, as the era never falls within a boot.
+constexpr unsigned kSequenceBits = 44;
+constexpr std::uint64_t kMaxSequence = (std::uint64_t{1} << kSequenceBits) - 1;
+static_assert(kMaxSourceEra <= ~std::uint64_t{0} >> kSequenceBits);
 constexpr double kSlownessSteps = 100;
 constexpr std::size_t kMaxCounts = 1000;
 constexpr std::size_t kMaxCrashes = 64;
@@ -137,16 +143,32 @@
   return report;
 }
 
+std::uint64_t EraOf(const peer_news& news) {
+  return std::max(news.settings_position.era, news.upstreams_position.era);
+}
+
+std::uint64_t EncodeRevision(const source_position& position,
+                             std::uint64_t era) {
+  return position.era == era ? position.revision : 0;
+}
+
+source_position DecodePosition(const json& revision, std::uint64_t era) {
+  const auto number = revision.get<std::uint64_t>();
+  return number == 0 ? source_position{} : source_position{era, number};
+}
+
 peer_news DecodeFields(const json& fields) {
   peer_news news;
   news.boot = fields.at(0).get<std::uint32_t>();
-  news.sequence = fields.at(1).get<std::uint64_t>();
+  const auto sequence = fields.at(1).get<std::uint64_t>();
+  const std::uint64_t era = sequence >> kSequenceBits;
+  news.sequence = sequence & kMaxSequence;
   news.uptime_ms = fields.at(2).get<std::uint64_t>();
   news.stopping = fields.at(3).get<bool>();
   news.heard_sequence = fields.at(4).get<std::uint64_t>();
   news.heard_boot = fields.at(5).get<std::uint32_t>();
-  news.settings_revision = fields.at(6).get<std::uint64_t>();
-  news.upstreams_revision = fields.at(7).get<std::uint64_t>();
+  news.settings_position = DecodePosition(fields.at(6), era);
+  news.upstreams_position = DecodePosition(fields.at(7), era);
   if (!fields.at(8).is_null()) news.load = DecodeLoad(fields.at(8));
   for (const json& each : fields.at(10)) {
     news.crashes.push_back(DecodeCrash(each));
@@ -177,10 +199,12 @@
   for (const core::crash_report& each : news.crashes) {
     crashes.push_back(EncodeCrash(each));
   }
+  const std::uint64_t era = EraOf(news);
   const json fields = json::array(
-      {news.boot, news.sequence, news.uptime_ms, news.stopping,
-       news.heard_sequence, news.heard_boot, news.settings_revision,
-       news.upstreams_revision, EncodeLoad(news.load),
+      {news.boot, era << kSequenceBits | (news.sequence & kMaxSequence),
+       news.uptime_ms, news.stopping, news.heard_sequence, news.heard_boot,
+       EncodeRevision(news.settings_position, era),
+       EncodeRevision(news.upstreams_position, era), EncodeLoad(news.load),
        json::binary(EncodeCounts(news.admitted)), std::move(crashes),
        news.reads_source,
        std::chrono::duration_cast<std::chrono::milliseconds>(news.period)
--- a/src/mesh/peer_table.cc
+++ b/src/mesh/peer_table.cc
@@ -48,8 +48,8 @@
   if (news.heard_boot == own_boot_) sender.echoed_at = now;
   sender.stopping = news.stopping;
   sender.reads_source = news.reads_source;
-  sender.settings_revision = news.settings_revision;
-  sender.upstreams_revision = news.upstreams_revision;
+  sender.settings_position = news.settings_position;
+  sender.upstreams_position = news.upstreams_position;
   sender.uptime_ms = news.uptime_ms;
   return result;
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -44,16 +44,16 @@
                RandomBoot()),
         ingress_(fleet_),
         egress_(fleet_),
-        mirror_(fleet_, *adapter_.reader),
+        mirror_(fleet_, *adapter_.reader, *adapter_.decoder),
         news_(fleet_),
-        follower_(fleet_, mirror_),
+        transport_(fleet_),
+        follower_(fleet_, mirror_, transport_),
         ready_(loop, timers, fleet_.settings.ready,
                ClientLimitsFor(listener_kind::kPages, fleet_.settings)),
         admin_(loop, timers, fleet_.settings.admin,
                ClientLimitsFor(listener_kind::kPages, fleet_.settings)) {
-    mirror_.on_item = [this](source_area area, const source_item& item,
-                             duration expiry_grace) {
-      OnItem(area, item, expiry_grace);
+    mirror_.on_item = [this](const source_mirror::item_change& change) {
+      OnItem(change);
     };
     mirror_.on_changes_applied = [this](source_area) {
       OnChangesApplied();
@@ -124,15 +124,21 @@
   // -------------------------------------------------------------------------
   // The source.
 
-  void OnItem(source_area, const source_item& item, duration expiry_grace) {
+  void OnItem(const source_mirror::item_change& change) {
     const instant now = fleet_.loop.Now();
+    const source_item& item = change.item;
     if (item.removed) {
-      OnRemoved(item, expiry_grace);
+      OnRemoved(item, change.expiry_grace);
+      return;
+    }
+    if (change.same_value) {
+      fleet_.directory.SetRevision(
+          adapter_.decoder->UpstreamIdFromKey(item.key), item.revision);
       return;
     }
     const decoded_item meaning = adapter_.decoder->Decode(item);
     if (const auto* parts = std::get_if<mesh::configuration_parts>(&meaning)) {
-      OnConfiguration(*parts, item);
+      OnConfiguration(*parts, change);
     } else if (const auto* upstream = std::get_if<mesh::upstream>(&meaning)) {
       fleet_.directory.Put(*upstream, now);
       fleet_.directory_at = now;
@@ -183,10 +189,12 @@
   }
 
   void OnConfiguration(const mesh::configuration_parts& parts,
-                       const source_item& item) {
+                       const source_mirror::item_change& change) {
+    const source_item& item = change.item;
     const std::uint64_t current_version =
         fleet_.config ? fleet_.config->Version() : 0;
-    if (parts.version <= current_version) {
+    // The mirror has decided that a lower version is what the operators want.
+    if (parts.version <= current_version && !change.ends_carried) {
       net::Log(core::log_level::kWarning, "older configuration ignored",
                {{"version", std::to_string(parts.version)},
                 {"in_force", std::to_string(current_version)},
@@ -258,8 +266,8 @@
         news.heard_sequence = peer->sequence;
       }
     }
-    news.settings_revision = mirror_.ChangeRevision(source_area::kSettings);
-    news.upstreams_revision = mirror_.ChangeRevision(source_area::kUpstreams);
+    news.settings_position = mirror_.ChangePosition(source_area::kSettings);
+    news.upstreams_position = mirror_.ChangePosition(source_area::kUpstreams);
     news.reads_source = mirror_.IsReading();
     news.load = egress_.Load();
     news.admitted = fleet_.allotments.News(now, since);
@@ -362,8 +370,8 @@
       egress_.OnCrashNews(report);
     }
     const bool is_ahead =
-        news.settings_revision > mirror_.Revision(source_area::kSettings) ||
-        news.upstreams_revision > mirror_.Revision(source_area::kUpstreams);
+        news.settings_position > mirror_.Position(source_area::kSettings) ||
+        news.upstreams_position > mirror_.Position(source_area::kUpstreams);
     if (is_ahead) follower_.Check();
   }
 
@@ -388,7 +396,7 @@
     const std::size_t fleet_size = fleet_.directory.Addresses().size();
     fleet_.allotments.SetFleet(fleet_size, fleet_.peers.CountHeard(now) + 1,
                                now);
-    mirror_.UpdateRole();
+    mirror_.RunMaintenance();
     follower_.Check();
     LogClientLimits(now);
   }
@@ -495,8 +503,9 @@
                                   server->ClientBytes(), server->Counts()});
     }
     for (const source_area area : kSourceAreas) {
-      fleet_.metrics.SetSourcePosition(
-          AreaName(area), {0, mirror_.Revision(area)}, mirror_.Answered(area));
+      fleet_.metrics.SetSourcePosition(AreaName(area), mirror_.Position(area),
+                                       mirror_.Answered(area),
+                                       mirror_.Carried(area));
     }
     return fleet_.metrics.Render(gauges);
   }
@@ -512,8 +521,9 @@
     state["reads_source"] = mirror_.IsReading();
     for (const source_area area : kSourceAreas) {
       state["source"][AreaName(area)] = {
-          {"copy", std::to_string(mirror_.Revision(area))},
-          {"answered", mesh::ToText(mirror_.Answered(area))}};
+          {"copy", mesh::ToText(mirror_.Position(area))},
+          {"answered", mesh::ToText(mirror_.Answered(area))},
+          {"carried", mirror_.Carried(area)}};
     }
     state["zones_out"] = zones_out_;
     for (const auto& [id, entry] : fleet_.directory.Entries()) {
@@ -593,6 +603,7 @@
   egress egress_;
   source_mirror mirror_;
   news_service news_;
+  http_peer_transport transport_;
   peer_follower follower_;
   page_server ready_;
   page_server admin_;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -61,6 +61,9 @@
                           "last answered; 0: none.")),
       source_revisions_(Gauges("pimentohall_source_revision",
                                "Revision of the source, likewise.")),
+      carried_changes_(Gauges("pimentohall_source_carried_changes",
+                              "Changes of earlier eras of the source that are "
+                              "in force instead of what it holds, by area.")),
       rank_refusals_(
           Counters("pimentohall_rank_refusals_total",
                    "Calls not sent because no upstream takes their rank.")),
@@ -163,7 +166,10 @@
 
 void node_metrics::SetSourcePosition(const char* area,
                                      const mesh::source_position& copy,
-                                     const mesh::source_position& answered) {
+                                     const mesh::source_position& answered,
+                                     std::size_t carried_changes) {
+  carried_changes_->Add({{"area", area}})
+      .Set(static_cast<double>(carried_changes));
   const std::pair<const char*, const mesh::source_position&> places[] = {
       {"copy", copy}, {"answered", answered}};
   for (const auto& [of, place] : places) {
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -37,7 +37,8 @@
   // An area's place in the source's history: that of the copy in force, and the
   // one that the source's last answer named.
   void SetSourcePosition(const char* area, const mesh::source_position& copy,
-                         const mesh::source_position& answered);
+                         const mesh::source_position& answered,
+                         std::size_t carried_changes);
   // Counts a call that wasn't sent because no upstream takes its rank.
   void CountRankRefusal(const std::string& route);
   // Records the Retry-After that the pacer chose.
@@ -104,6 +105,7 @@
   prometheus::Family<prometheus::Counter>* source_;
   prometheus::Family<prometheus::Gauge>* source_eras_;
   prometheus::Family<prometheus::Gauge>* source_revisions_;
+  prometheus::Family<prometheus::Gauge>* carried_changes_;
   prometheus::Family<prometheus::Counter>* rank_refusals_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -1,7 +1,10 @@
 #include "node/peer_follower.h"
 
+#include <algorithm>
 #include <charconv>
 
+#include "node/carry_rules.h"
+
 namespace pimentohall::node {
 namespace {
 
@@ -23,7 +26,13 @@
 
 constexpr char kPath[] = "/pimentohall/mirror?";
 
-// The queries of `kPath`. The revision that the asking daemon holds follows.
+// A daemon takes carried changes over from a peer within this time of its
+// start; later it knows them itself.
+constexpr duration kIntroductionTime = kRewriteTime;
+
+// The queries of `kPath`. The position that the asking daemon holds follows, as
+// "era.revision". Daemons of earlier versions, and those whose source has no
+// eras, send the revision only.
 struct query_form {
   std::string_view prefix;
   source_area area;
@@ -38,10 +47,15 @@
     {"upstreams_list=", source_area::kUpstreams, export_form::kList},
 };
 
-std::string Query(source_area area, export_form form, std::uint64_t revision) {
-  for (const query_form& query : kQueries) {
-    if (query.area != area || query.form != form) continue;
-    return std::string(query.prefix) + std::to_string(revision);
+using export_query = source_mirror::export_query;
+
+std::string QueryText(const export_query& query) {
+  const std::string since =
+      (query.knows_eras ? std::to_string(query.since.era) + "." : "") +
+      std::to_string(query.since.revision);
+  for (const query_form& each : kQueries) {
+    if (each.area != query.area || each.form != query.form) continue;
+    return std::string(each.prefix) + since;
   }
   return {};
 }
@@ -55,18 +69,66 @@
   return number;
 }
 
-std::uint64_t ReportedChangeRevision(const mesh::peer_table::peer& peer,
-                                     source_area area) {
-  return area == source_area::kSettings ? peer.settings_revision
-                                        : peer.upstreams_revision;
+// Parses what `QueryText` returns.
+std::optional<export_query> ReadQuery(std::string_view text) {
+  for (const query_form& each : kQueries) {
+    if (text.substr(0, each.prefix.size()) != each.prefix) continue;
+    text.remove_prefix(each.prefix.size());
+    export_query query = {each.area, each.form, {}, false};
+    const std::size_t dot = text.find('.');
+    if (dot != std::string_view::npos) {
+      const auto era = ReadNumber(text.substr(0, dot));
+      if (!era) return std::nullopt;
+      query.since.era = *era;
+      query.knows_eras = true;
+      text.remove_prefix(dot + 1);
+    }
+    const auto revision = ReadNumber(text);
+    if (!revision) return std::nullopt;
+    query.since.revision = *revision;
+    return query;
+  }
+  return std::nullopt;
+}
+
+const mesh::source_position& ReportedPosition(
+    const mesh::peer_table::peer& peer, source_area area) {
+  return area == source_area::kSettings ? peer.settings_position
+                                        : peer.upstreams_position;
 }
 
 }  // namespace
 
-peer_follower::peer_follower(fleet_state& fleet, source_mirror& mirror)
+http_peer_transport::http_peer_transport(fleet_state& fleet)
+    : fleet_(fleet), client_(fleet.loop, fleet.timers, 1, kMaxAnswerBytes) {}
+
+void http_peer_transport::Ask(const std::string& peer,
+                              const std::string& target, duration timeout,
+                              handler done) {
+  net::http_request request;
+  request.target = fleet_.PeerEndpoint(peer);
+  request.path = target;
+  request.timeout = timeout;
+  client_.Start(
+      request,
+      [this, peer, done = std::move(done)](
+          const tl::expected<net::http_answer, net::http_failure>& answer) {
+        if (!answer || answer->status != 200 || !answer->body) {
+          done(std::nullopt);
+          return;
+        }
+        fleet_.metrics.CountPeerBytes(node_metrics::peer_traffic::kItems,
+                                      fleet_.IsFar(peer), false,
+                                      answer->body->size());
+        done(*answer->body);
+      });
+}
+
+peer_follower::peer_follower(fleet_state& fleet, source_mirror& mirror,
+                             peer_transport& transport)
     : fleet_(fleet),
       mirror_(mirror),
-      client_(fleet.loop, fleet.timers, 1, kMaxAnswerBytes),
+      transport_(transport),
       peer_rotation_(fleet.boot) {}
 
 void peer_follower::Check() {
@@ -76,22 +138,49 @@
   }
 }
 
-std::string peer_follower::FindPeerAhead(source_area area, instant now) {
+std::string peer_follower::FindPeer(source_area area, instant now,
+                                    const peer_filter& passes) const {
   std::vector<std::string> near;
   std::vector<std::string> far;
   for (const auto& [address, peer] : fleet_.peers.Peers()) {
     if (!fleet_.peers.IsHeard(address, now)) continue;
-    if (ReportedChangeRevision(peer, area) <= mirror_.Revision(area)) continue;
+    if (!passes(ReportedPosition(peer, area))) continue;
     const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
     (is_near ? near : far).push_back(address);
   }
-  const std::vector<std::string>& ahead = near.empty() ? far : near;
-  return ahead.empty() ? "" : ahead[peer_rotation_ % ahead.size()];
+  const std::vector<std::string>& found = near.empty() ? far : near;
+  return found.empty() ? "" : found[peer_rotation_ % found.size()];
+}
+
+std::string peer_follower::FindPeerAhead(source_area area, instant now) const {
+  const mesh::source_position own = mirror_.Position(area);
+  std::string peer = FindPeer(
+      area, now,
+      [&own](const mesh::source_position& position) { return position > own; });
+  const bool is_new = now - fleet_.started_at < kIntroductionTime;
+  if (!peer.empty() || !is_new || mirror_.IsIntroduced(area)) return peer;
+  return FindPeer(area, now, [this](const mesh::source_position& position) {
+    return position.era == mirror_.Era();
+  });
+}
+
+void peer_follower::ReadForUnknownEra(source_area area, area_progress* progress,
+                                      instant now) {
+  const mesh::source_position own = mirror_.Position(area);
+  if (own.era == 0 || !mirror_.CanRead(area)) return;
+  std::uint64_t newest = 0;
+  FindPeer(area, now, [&newest](const mesh::source_position& position) {
+    if (position.era == 0) newest = std::max(newest, position.revision);
+    return false;
+  });
+  if (newest <= std::max(own.revision, progress->read_for_revision)) return;
+  if (mirror_.RequestRead(area)) progress->read_for_revision = newest;
 }
 
 void peer_follower::CatchUp(source_area area, area_progress* progress,
                             instant now) {
   if (progress->fetching) return;
+  ReadForUnknownEra(area, progress, now);
   const std::string ahead = FindPeerAhead(area, now);
   if (ahead.empty()) {
     progress->behind_since.reset();
@@ -114,8 +203,12 @@
 }
 
 export_form peer_follower::NextForm(source_area area,
-                                    const area_progress& progress) {
-  if (progress.needs_list) return export_form::kList;
+                                    const area_progress& progress,
+                                    const mesh::source_position& of) const {
+  const bool other_era = of.era != mirror_.Position(area).era;
+  if (progress.needs_list || other_era || !mirror_.IsIntroduced(area)) {
+    return export_form::kList;
+  }
   if (area == source_area::kUpstreams || progress.needs_whole) {
     return export_form::kChanges;
   }
@@ -126,36 +219,31 @@
                           const std::string& peer) {
   progress->fetching = true;
   ++peer_rotation_;
-  net::http_request request;
-  request.target = fleet_.PeerEndpoint(peer);
+  const auto* const asked = fleet_.peers.Find(peer);
+  const mesh::source_position reported = asked == nullptr
+                                             ? mesh::source_position{}
+                                             : ReportedPosition(*asked, area);
+  export_query query = {area, NextForm(area, *progress, reported),
+                        mirror_.Position(area), reported.era != 0};
   // A list that refers to items which this daemon lacks was rejected.
-  const bool needs_values = progress->needs_list && progress->failures > 0;
-  request.path = kPath + Query(area, NextForm(area, *progress),
-                               needs_values ? 0 : mirror_.Revision(area));
-  request.timeout = kFetchTimeout;
-  client_.Start(
-      request,
-      [this, area, progress,
-       peer](const tl::expected<net::http_answer, net::http_failure>& answer) {
+  if (query.form == export_form::kList &&
+      (progress->failures > 0 || progress->needs_whole)) {
+    query.since = {};
+  }
+  transport_.Ask(
+      peer, kPath + QueryText(query), kFetchTimeout,
+      [this, area, progress, peer](const std::optional<std::string>& answer) {
         progress->fetching = false;
         OnAnswer(area, progress, peer, answer);
       });
 }
 
-void peer_follower::OnAnswer(
-    source_area area, area_progress* progress, const std::string& peer,
-    const tl::expected<net::http_answer, net::http_failure>& answer) {
+void peer_follower::OnAnswer(source_area area, area_progress* progress,
+                             const std::string& peer,
+                             const std::optional<std::string>& answer) {
   using import_result = source_mirror::import_result;
-  const bool answered = answer && answer->status == 200 && answer->body;
-  if (answered) {
-    fleet_.metrics.CountPeerBytes(node_metrics::peer_traffic::kItems,
-                                  fleet_.IsFar(peer), false,
-                                  answer->body->size());
-  }
   auto result = import_result::kRejected;
-  if (answered && !answer->body->empty()) {
-    result = mirror_.Import(*answer->body);
-  }
+  if (answer && !answer->empty()) result = mirror_.Import(*answer);
   switch (result) {
     case import_result::kApplied:
       progress->failures = 0;
@@ -164,15 +252,15 @@
       return;
     case import_result::kDiffers:
       progress->needs_list = true;
-      net::Log(core::log_level::kInfo, "items differ from a peer's",
-               {{"peer", peer},
-                {"revision", std::to_string(mirror_.Revision(area))}});
+      net::Log(
+          core::log_level::kInfo, "items differ from a peer's",
+          {{"peer", peer}, {"revision", mesh::ToText(mirror_.Position(area))}});
       Fetch(area, progress, peer);
       return;
     case import_result::kRejected:
       break;
   }
-  OnNoItems(area, progress, peer, answered);
+  OnNoItems(area, progress, peer, answer.has_value());
 }
 
 void peer_follower::OnNoItems(source_area area, area_progress* progress,
@@ -194,25 +282,22 @@
 std::string peer_follower::Answer(const std::string& target) {
   std::string_view text = target;
   text.remove_prefix(sizeof(kPath) - 1);
-  for (const query_form& query : kQueries) {
-    if (text.substr(0, query.prefix.size()) != query.prefix) continue;
-    const auto since = ReadNumber(text.substr(query.prefix.size()));
-    if (!since) break;
-    if (query.area == source_area::kUpstreams ||
-        query.form == export_form::kPatches) {
-      return mirror_.Export(query.area, *since, query.form);
-    }
-    return AnswerWhole(query.area, *since, query.form);
+  const auto query = ReadQuery(text);
+  if (!query) {
+    net::Log(core::log_level::kWarning, "request of a peer is unreadable",
+             {{"target", target}});
+    return {};
   }
-  net::Log(core::log_level::kWarning, "request of a peer is unreadable",
-           {{"target", target}});
-  return {};
+  if (query->area == source_area::kUpstreams ||
+      query->form == export_form::kPatches) {
+    return mirror_.Export(*query);
+  }
+  return AnswerWhole(*query);
 }
 
-std::string peer_follower::AnswerWhole(source_area area, std::uint64_t since,
-                                       export_form form) {
+std::string peer_follower::AnswerWhole(const export_query& query) {
   const instant now = fleet_.loop.Now();
-  std::string bytes = mirror_.Export(area, since, form);
+  std::string bytes = mirror_.Export(query);
   if (bytes.size() < kLargeAnswerBytes) return bytes;
   if (now - large_answer_sent_at_ < kMinLargeAnswerInterval) return {};
   large_answer_sent_at_ = now;
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -1,14 +1,13 @@
 #include "node/source_mirror.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "node/carry_rules.h"
 
 namespace pimentohall::node {
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 // Number of daemons that watch the source. With three, one remains if one is
@@ -57,19 +56,6 @@
 constexpr duration kFailureExpiry = milliseconds(3000);
 // Removals that are kept for peers; a rolling release causes some tens.
 constexpr std::size_t kMaxRemovals = 400;
-// Items that expired during an outage of the source are restored within this
-// time after it returns, as the platform specifies.
-constexpr duration kRestoreTime = milliseconds(2000);
-// Values of at least this size are sent to peers compressed. An entry of an
-// upstream has some hundreds of bytes, a configuration tens of thousands.
-constexpr std::size_t kLargeValueBytes = 8 * 1024;
-// Allows for a configuration of some thousands of routes.
-constexpr std::size_t kMaxValueBytes = 8 * 1024 * 1024;
-
-// A revision names one value of a key, so the value isn't hashed.
-std::uint64_t ItemHash(const source_item& item) {
-  return XXH64(item.key.data(), item.key.size(), item.revision);
-}
 
 const char* ProblemName(source_problem problem) {
   switch (problem) {
@@ -81,6 +67,8 @@
       return "history_gone";
     case source_problem::kMalformed:
       return "unreadable";
+    case source_problem::kOlderEra:
+      return "older_era";
   }
   return "unreadable";
 }
@@ -93,8 +81,9 @@
 
 }  // namespace
 
-source_mirror::source_mirror(fleet_state& fleet, source_reader& reader)
-    : fleet_(fleet), reader_(reader) {
+source_mirror::source_mirror(fleet_state& fleet, source_reader& reader,
+                             const source_decoder& decoder)
+    : fleet_(fleet), reader_(reader), decoder_(decoder) {
   for (const source_area area : kSourceAreas) At(area).area = area;
 }
 
@@ -141,14 +130,22 @@
   net::Log(core::log_level::kInfo,
            following ? "follows the readers" : "reads the source",
            {{"area", AreaName(state->area)},
-            {"revision", std::to_string(state->revision)},
+            {"revision", mesh::ToText(state->position)},
             {"heard", std::to_string(fleet_.peers.CountHeard(now))},
             {"readers_before",
              std::to_string(fleet_.peers.CountReadersBefore(now))}});
 }
 
-void source_mirror::UpdateRole() {
+mesh::source_position source_mirror::ChangePosition(source_area area) const {
+  const area_state& state = At(area);
+  // A copy of an unknown era.
+  if (state.position.era == 0 && era_ != 0) return {};
+  return {state.position.era, state.change_revision};
+}
+
+void source_mirror::RunMaintenance() {
   const instant now = fleet_.loop.Now();
+  for (area_state& state : areas_) EndCarried(&state);
   if (fleet_.peers.CountReadersBefore(now) >= kReaderCount) {
     few_readers_since_.reset();
   } else if (!few_readers_since_) {
@@ -196,6 +193,31 @@
                    });
 }
 
+bool source_mirror::CheckEra(area_state* state, const source_page& page) {
+  if (page.era >= era_) {
+    LearnEra(page.era);
+    return true;
+  }
+  net::Log(core::log_level::kWarning, "answer of an earlier era dropped",
+           {{"area", AreaName(state->area)},
+            {"era", std::to_string(page.era)},
+            {"newest_era", std::to_string(era_)}});
+  OnProblem(state, source_problem::kOlderEra);
+  return false;
+}
+
+void source_mirror::LearnEra(std::uint64_t era) {
+  if (era <= era_) return;
+  const std::uint64_t before = std::exchange(era_, era);
+  if (before == 0) return;
+  net::Log(core::log_level::kWarning, "source came back from an older copy",
+           {{"era", std::to_string(era)}, {"before", std::to_string(before)}});
+  // Watches of the era before may stay unanswered until their time is over.
+  for (area_state& state : areas_) {
+    if (state.complete && !state.following && state.watching) Restart(&state);
+  }
+}
+
 void source_mirror::Restart(area_state* state) {
   if (state->restarts++ == 0) {
     ReadAgain(state);
@@ -210,7 +232,14 @@
 }
 
 void source_mirror::OnPage(area_state* state, source_page page) {
+  if (!CheckEra(state, page)) return;
   OnAnswered(state, page);
+  if (state->read_after.empty()) {
+    state->read_era = page.era;
+  } else if (page.era != state->read_era) {
+    Restart(state);
+    return;
+  }
   const bool may_be_stale = state->quality == read_consistency::kAllowStale;
   std::string last;
   std::uint64_t newest = 0;
@@ -230,14 +259,15 @@
     }
     return;
   }
-  const std::uint64_t revision = *state->read_revision;
+  const mesh::source_position position = {may_be_stale ? 0 : page.era,
+                                          *state->read_revision};
   // Changes that were made since the last revision held may have left no trace
   // in the items, such as an entry that came and went.
   std::uint64_t change_revision = 0;
-  if (!may_be_stale && (!state->complete || revision > state->revision)) {
-    change_revision = revision;
+  if (!may_be_stale && (!state->complete || position > state->position)) {
+    change_revision = position.revision;
   }
-  Replace(state, std::exchange(state->read_items, {}), revision,
+  Replace(state, std::exchange(state->read_items, {}), position,
           change_revision, ExpiryGrace(*state));
   WatchWhenRoleIsKnown(state);
 }
@@ -264,6 +294,15 @@
   const instant now = fleet_.loop.Now();
   SetFollowing(state, !ShouldRead(now));
   if (state->following) return;
+  // A copy of another era, or of an unknown one, is no place to go on from.
+  if (state->position.era == 0 && era_ != 0) {
+    ReadAgain(state);
+    return;
+  }
+  if (state->position.era != era_) {
+    Restart(state);
+    return;
+  }
   const bool is_first = fleet_.peers.CountReadersBefore(now) == 0;
   const duration wait =
       is_first ? kFirstReaderWatchDuration : kBackupWatchDuration;
@@ -271,26 +310,40 @@
   state->answer_deadline = now + wait + kAnswerGrace;
   state->watching = true;
   const std::uint64_t generation = ++state->generation;
-  reader_.Watch(state->area, state->revision, wait, wait + kWatchTimeoutMargin,
-                [this, state,
-                 generation](tl::expected<source_page, source_problem> page) {
+  reader_.Watch(state->area, state->position.revision, wait,
+                wait + kWatchTimeoutMargin,
+                [this, state, generation, since = state->position](
+                    tl::expected<source_page, source_problem> page) {
                   if (generation != state->generation) return;
                   state->watching = false;
                   if (!page) {
                     OnProblem(state, page.error());
                   } else {
-                    OnEvents(state, std::move(*page));
+                    OnEvents(state, since, std::move(*page));
                   }
                 });
 }
 
-void source_mirror::OnEvents(area_state* state, source_page page) {
+void source_mirror::OnEvents(area_state* state,
+                             const mesh::source_position& since,
+                             source_page page) {
+  if (!CheckEra(state, page)) return;
   OnAnswered(state, page);
+  if (page.era != state->position.era) {
+    Restart(state);
+    return;
+  }
   state->restarts = 0;
+  // A peer told of a new era while the answer was on its way: it doesn't begin
+  // at a place of that era.
+  if (since.era != state->position.era) {
+    Watch(state);
+    return;
+  }
   bool changed = false;
   for (source_item& item : page.items) {
     // A peer may have told of newer changes while the answer was on its way.
-    if (item.revision <= state->revision) continue;
+    if (item.revision <= state->position.revision) continue;
     if (item.removed) {
       Remove(state, item.key, item.revision, ExpiryGrace(*state));
       changed = true;
@@ -298,7 +351,7 @@
       changed = Apply(state, std::move(item)) || changed;
     }
   }
-  state->revision = std::max(state->revision, page.revision);
+  state->position.revision = std::max(state->position.revision, page.revision);
   if (changed && on_changes_applied) on_changes_applied(state->area);
   const instant now = fleet_.loop.Now();
   if (page.items.empty() && now - state->call_started_at >= kMinWatchInterval) {
@@ -330,7 +383,7 @@
       core::log_level::kInfo,
       state->loss_logged ? "source regained" : "source reached",
       {{"area", AreaName(state->area)},
-       {"revision", std::to_string(state->revision)},
+       {"revision", mesh::ToText(state->position)},
        {"away_ms",
         state->lost_at != instant{} ? MsText(now - state->lost_at) : "0"}});
   state->loss_logged = false;
@@ -342,7 +395,7 @@
   if (problem == source_problem::kHistoryGone) {
     net::Log(core::log_level::kInfo, "source dropped its history",
              {{"area", AreaName(state->area)},
-              {"revision", std::to_string(state->revision)}});
+              {"revision", mesh::ToText(state->position)}});
     Restart(state);
     return;
   }
@@ -358,7 +411,7 @@
     net::Log(core::log_level::kWarning, "source lost",
              {{"area", AreaName(state->area)},
               {"problem", ProblemName(problem)},
-              {"revision", std::to_string(state->revision)}});
+              {"revision", mesh::ToText(state->position)}});
   }
   duration wait = RetryDelay(state->failures);
   const bool is_primary = fleet_.peers.IsSelected(kReaderCount, now);
@@ -373,33 +426,76 @@
       }));
 }
 
-void source_mirror::RequestRead(source_area area) {
+bool source_mirror::RequestRead(source_area area) {
   area_state& state = At(area);
   const duration age =
       state.following ? kMinReadInterval : kMinReaderReadInterval;
-  if (state.reading || fleet_.loop.Now() - state.call_started_at < age) return;
+  if (state.reading || fleet_.loop.Now() - state.call_started_at < age) {
+    return false;
+  }
   state.retry_timer.disconnect();
   ReadAgain(&state);
+  return true;
 }
 
 // ---------------------------------------------------------------------------
 // Items.
 
 bool source_mirror::Apply(area_state* state, source_item item) {
-  const auto removal = state->removals.find(item.key);
-  if (removal != state->removals.end() && removal->second >= item.revision) {
+  const mesh::source_position position = {state->position.era, item.revision};
+  const auto removed = state->removals.find(item.key);
+  if (removed != state->removals.end() &&
+      position <= removed->second.position) {
     return false;
   }
   source_item& held = state->items[item.key];
-  if (held.revision >= item.revision && !held.key.empty()) return false;
-  const bool same = !held.key.empty() && held.value == item.value;
+  const bool is_held = !held.key.empty();
+  const bool is_newer =
+      !is_held || held.revision < item.revision ||
+      (held.revision == item.revision && held.value != item.value);
+  if (!is_newer) return false;
   RecordPatch(state, held, item);
-  if (!held.key.empty()) state->digest -= ItemHash(held);
-  held = std::move(item);
-  state->digest += ItemHash(held);
+  if (is_held) state->digest -= ItemHash(held, state->position.era);
+  const source_item before = std::exchange(held, std::move(item));
+  state->digest += ItemHash(held, state->position.era);
   state->change_revision = std::max(state->change_revision, held.revision);
-  if (!same && on_item) on_item(state->area, held, duration{0});
-  return !same;
+  const auto carried = state->carried.find(held.key);
+  if (carried == state->carried.end()) {
+    Report(state, held.key, is_held ? &before : nullptr, false);
+    return !is_held || before.value != held.value;
+  }
+  // A list may bring an older item that was missed.
+  const auto origin = held.revision > state->era_revision
+                          ? offer_origin::kWritten
+                          : offer_origin::kCopy;
+  const auto time = CarryTime(decoder_, carried->second.item, &held, origin);
+  if (time && state->era_began + *time > fleet_.loop.Now()) {
+    carried->second.until = state->era_began + *time;
+    return false;
+  }
+  const source_item in_force = std::move(carried->second.item);
+  state->carried.erase(carried);
+  Report(state, held.key, &in_force, true);
+  return true;
+}
+
+void source_mirror::Report(area_state* state, const std::string& key,
+                           const source_item* before, bool ends_carried) {
+  if (!on_item) return;
+  const auto carried = state->carried.find(key);
+  const auto held = state->items.find(key);
+  const source_item* now = nullptr;
+  if (held != state->items.end()) now = &held->second;
+  if (carried != state->carried.end()) now = &carried->second.item;
+  const bool was_there = before != nullptr && !before->removed;
+  if (now != nullptr && !now->removed) {
+    const bool same_value = was_there && before->value == now->value;
+    on_item({state->area, *now, duration{0}, ends_carried, same_value});
+  } else if (was_there) {
+    source_item removed_item = *before;
+    removed_item.removed = true;
+    on_item({state->area, removed_item, duration{0}, ends_carried, false});
+  }
 }
 
 // Records a patch for a changed large value, unless it arrived as a patch.
@@ -418,247 +514,173 @@
 void source_mirror::Remove(area_state* state, const std::string& key,
                            std::uint64_t revision, duration expiry_grace) {
   const auto found = state->items.find(key);
+  const bool is_held = found != state->items.end();
   state->change_revision = std::max(state->change_revision, revision);
-  RecordRemoval(state, key, revision);
-  if (found == state->items.end()) return;
-  if (revision != 0 && found->second.revision > revision) return;
-  source_item removed_item = std::move(found->second);
-  state->digest -= ItemHash(removed_item);
-  state->patches.erase(key);
-  state->items.erase(found);
-  removed_item.removed = true;
-  if (revision != 0) removed_item.revision = revision;
-  if (on_item) on_item(state->area, removed_item, expiry_grace);
+  RecordRemoval(state, key, revision, is_held ? &found->second : nullptr);
+  if (is_held && revision != 0 && found->second.revision > revision) return;
+  std::optional<source_item> in_force;
+  if (is_held) {
+    state->digest -= ItemHash(found->second, state->position.era);
+    in_force = std::move(found->second);
+    state->patches.erase(key);
+    state->items.erase(found);
+  }
+  const auto carried = state->carried.find(key);
+  if (carried != state->carried.end()) {
+    in_force = std::move(carried->second.item);
+    state->carried.erase(carried);
+  }
+  if (!in_force || in_force->removed) return;
+  in_force->removed = true;
+  if (revision != 0) in_force->revision = revision;
+  if (on_item) on_item({state->area, *in_force, expiry_grace, false, false});
 }
 
 void source_mirror::Replace(area_state* state,
                             std::map<std::string, source_item> items,
-                            std::uint64_t revision,
+                            const mesh::source_position& position,
                             std::uint64_t change_revision,
                             duration expiry_grace) {
-  if (state->complete && revision < state->revision) {
-    net::Log(core::log_level::kWarning, "older copy of the source ignored",
+  if (state->complete && position < state->position) {
+    net::Log(core::log_level::kInfo, "older copy of the source ignored",
              {{"area", AreaName(state->area)},
-              {"revision", std::to_string(revision)},
-              {"own_revision", std::to_string(state->revision)}});
+              {"revision", mesh::ToText(position)},
+              {"own_revision", mesh::ToText(state->position)}});
+    return;
+  }
+  if (position.era != state->position.era) {
+    EnterEra(state, std::move(items), position);
     return;
   }
   std::vector<std::string> missing;
   for (const auto& [key, held] : state->items) {
     // The copy says nothing of changes after its revision.
-    if (items.count(key) == 0 && held.revision <= revision) {
+    if (items.count(key) == 0 && held.revision <= position.revision) {
       missing.push_back(key);
     }
   }
   for (const std::string& key : missing) {
+    const source_item last = state->items[key];
     Remove(state, key, 0, expiry_grace);
-    RecordRemoval(state, key, revision);
+    RecordRemoval(state, key, position.revision, &last);
   }
   for (auto& entry : items) Apply(state, std::move(entry.second));
   // Removals that only the read revealed get the revision of the read.
-  if (!missing.empty()) change_revision = std::max(change_revision, revision);
+  if (!missing.empty()) {
+    change_revision = std::max(change_revision, position.revision);
+  }
   state->change_revision = std::max(state->change_revision, change_revision);
-  state->revision = revision;
+  state->position = position;
   state->complete = true;
   if (on_changes_applied) on_changes_applied(state->area);
 }
 
-// Records a removal for peers; beyond the limit, the oldest one is dropped.
-void source_mirror::RecordRemoval(area_state* state, const std::string& key,
-                                  std::uint64_t revision) {
-  if (revision == 0) return;
-  std::uint64_t& held = state->removals[key];
-  held = std::max(held, revision);
-  if (state->removals.size() <= kMaxRemovals) return;
-  const auto oldest = std::min_element(
-      state->removals.begin(), state->removals.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  state->removals.erase(oldest);
+std::map<std::string, source_item> source_mirror::InForce(
+    const area_state& state) {
+  std::map<std::string, source_item> in_force;
+  for (const auto& [key, removed] : state.removals) {
+    source_item& item = in_force[key];
+    item = removed.last;
+    item.key = key;
+    item.removed = true;
+  }
+  for (const auto& [key, item] : state.items) in_force[key] = item;
+  for (const auto& [key, carried] : state.carried) in_force[key] = carried.item;
+  return in_force;
 }
 
-// ---------------------------------------------------------------------------
-// Exchange of items between daemons. A message is a CBOR array: the area,
-// whether the items are all of the area's, the area's revision and its change
-// revision, the items, the removals, the time within which expired items may be
-// restored, and the digest of all items. An item is an array of key, value and
-// revision; a compressed item is followed by the revision of the value that it
-// is a patch of, 0 for none. An item that the receiver holds already is an
-// array of key and revision.
-
-namespace {
-
-json PackedItem(const std::string& key, const std::string& packed,
-                std::uint64_t revision, std::uint64_t base) {
-  return json::array(
-      {key,
-       json::binary(std::vector<std::uint8_t>(packed.begin(), packed.end())),
-       revision, base});
-}
-
-// Decodes an item. `held`: the item that it may refer to or be a patch of, or
-// null.
-tl::expected<source_item, std::string> ReadItem(const json& encoded,
-                                                const source_item* held) {
-  source_item item;
-  item.key = encoded.at(0).get<std::string>();
-  if (encoded.size() == 2) {
-    const auto revision = encoded.at(1).get<std::uint64_t>();
-    if (held == nullptr || held->revision != revision) {
-      return tl::unexpected("no item of revision " + std::to_string(revision));
+void source_mirror::EnterEra(area_state* state,
+                             std::map<std::string, source_item> items,
+                             const mesh::source_position& position) {
+  const bool knew_era = state->position.era != 0;
+  const auto origin = knew_era ? offer_origin::kCopy : offer_origin::kFirstEra;
+  const instant now = fleet_.loop.Now();
+  const mesh::source_position before = std::exchange(state->position, position);
+  const auto in_force = InForce(*state);
+  const auto held = std::exchange(state->items, std::move(items));
+  state->digest = 0;
+  state->patches.clear();
+  state->packed_key.clear();
+  state->carried.clear();
+  state->new_in_era.clear();
+  state->era_began = now;
+  state->era_revision = position.revision;
+  state->change_revision = position.revision;
+  state->complete = true;
+  for (const auto& [key, item] : state->items) {
+    state->digest += ItemHash(item, position.era);
+    const auto same = held.find(key);
+    if (same == held.end() || same->second.revision != item.revision ||
+        same->second.value != item.value) {
+      state->new_in_era.insert(key);
     }
-    return *held;
-  }
-  item.revision = encoded.at(2).get<std::uint64_t>();
-  if (encoded.size() == 3) {
-    item.value = encoded.at(1).get<std::string>();
-    return item;
+    if (in_force.count(key) == 0) Report(state, key, nullptr, false);
   }
-  const auto base = encoded.at(3).get<std::uint64_t>();
-  if (base != 0 && (held == nullptr || held->revision != base)) {
-    return tl::unexpected("a patch of revision " + std::to_string(base));
+  for (const auto& [key, item] : in_force) {
+    const auto offered = state->items.find(key);
+    const bool is_offered = offered != state->items.end();
+    if (item.removed && !is_offered) continue;
+    const bool same =
+        is_offered && !item.removed && offered->second.value == item.value;
+    const auto time =
+        same ? std::nullopt
+             : CarryTime(decoder_, item,
+                         is_offered ? &offered->second : nullptr, origin);
+    if (time) {
+      state->carried[key] = {item, now + *time};
+    } else if (!same || item.revision != offered->second.revision) {
+      Report(state, key, &item, true);
+    }
   }
-  std::string_view base_value;
-  if (base != 0) base_value = held->value;
-  const json::binary_t& packed = encoded.at(1).get_binary();
-  auto value = mesh::Unpack(
-      {reinterpret_cast<const char*>(packed.data()), packed.size()}, base_value,
-      kMaxValueBytes);
-  if (!value) return tl::unexpected(value.error());
-  item.value = std::move(*value);
-  return item;
+  net::Log(core::log_level::kInfo, "copy entered an era of the source",
+           {{"area", AreaName(state->area)},
+            {"revision", mesh::ToText(position)},
+            {"before", mesh::ToText(before)},
+            {"new", std::to_string(state->new_in_era.size())},
+            {"carried", std::to_string(state->carried.size())}});
+  if (on_changes_applied) on_changes_applied(state->area);
 }
 
-}  // namespace
-
-// Compresses a whole value. The result is cached, as many peers request the
-// same value within a second.
-const std::string& source_mirror::PackFull(area_state* state,
-                                           const source_item& item) {
-  if (state->packed_key != item.key ||
-      state->packed_revision != item.revision) {
-    state->packed_key = item.key;
-    state->packed_revision = item.revision;
-    state->packed = mesh::Pack(item.value, {});
+void source_mirror::EndCarried(area_state* state) {
+  const instant now = fleet_.loop.Now();
+  std::vector<source_item> ended;
+  for (auto it = state->carried.begin(); it != state->carried.end();) {
+    if (it->second.until > now) {
+      ++it;
+      continue;
+    }
+    ended.push_back(std::move(it->second.item));
+    it = state->carried.erase(it);
+  }
+  if (ended.empty()) return;
+  for (const source_item& item : ended) {
+    net::Log(core::log_level::kWarning, "change wasn't made again",
+             {{"key", item.key},
+              {"revision", std::to_string(item.revision)},
+              {"removal", item.removed ? "yes" : "no"}});
+    Report(state, item.key, &item, true);
   }
-  return state->packed;
+  if (on_changes_applied) on_changes_applied(state->area);
 }
 
-std::string source_mirror::Export(source_area area, std::uint64_t since,
-                                  export_form form) {
-  area_state& state = At(area);
-  const bool is_full = since == 0 || form == export_form::kList;
-  const bool patched = form == export_form::kPatches;
-  if (patched && is_full) return {};
-  json items = json::array();
-  json removals = json::array();
-  for (const auto& [key, item] : state.items) {
-    if (item.revision <= since) {
-      if (is_full) items.push_back(json::array({key, item.revision}));
-    } else if (item.value.size() < kLargeValueBytes) {
-      items.push_back(json::array({key, item.value, item.revision}));
-    } else if (!patched) {
-      items.push_back(
-          PackedItem(key, PackFull(&state, item), item.revision, 0));
-    } else {
-      const mesh::patch_history& history = state.patches[key];
-      const auto steps = history.Since(since);
-      if (!steps || history.Newest() != item.revision) return {};
-      for (const mesh::value_patch& patch : *steps) {
-        items.push_back(PackedItem(key, patch.packed, patch.to, patch.from));
-      }
-    }
-  }
-  for (const auto& [key, revision] : state.removals) {
-    if (is_full || revision <= since || state.items.count(key) != 0) continue;
-    removals.push_back(json::array({key, revision}));
-  }
-  const json message = json::array(
-      {static_cast<int>(area), is_full, state.complete ? state.revision : 0,
-       state.change_revision, std::move(items), std::move(removals),
-       ExpiryGrace(state).count(), state.digest});
-  std::string bytes;
-  json::to_cbor(message, bytes);
-  return bytes;
-}
-
-tl::expected<std::map<std::string, source_item>, std::string>
-source_mirror::ReadItems(area_state* state, const json& encoded) {
-  std::map<std::string, source_item> items;
-  for (const json& entry : encoded) {
-    const auto key = entry.at(0).get<std::string>();
-    const auto next = items.find(key);
-    const auto held = state->items.find(key);
-    const source_item* base = nullptr;
-    if (held != state->items.end()) base = &held->second;
-    if (next != items.end()) base = &next->second;
-    auto item = ReadItem(entry, base);
-    if (!item) return tl::unexpected(item.error());
-    if (entry.size() > 3 && entry.at(3).get<std::uint64_t>() != 0) {
-      const json::binary_t& packed = entry.at(1).get_binary();
-      state->patches[key].Add({entry.at(3).get<std::uint64_t>(), item->revision,
-                               std::string(packed.begin(), packed.end())});
-    }
-    items[key] = std::move(*item);
-  }
-  return items;
-}
-
-source_mirror::import_result source_mirror::Import(std::string_view bytes) {
-  try {
-    const json message = json::from_cbor(bytes.begin(), bytes.end());
-    const int area = message.at(0).get<int>();
-    if (area != 0 && area != 1) return import_result::kRejected;
-    area_state& state = areas_[area];
-    const bool is_full = message.at(1).get<bool>();
-    const auto revision = message.at(2).get<std::uint64_t>();
-    const auto change = message.at(3).get<std::uint64_t>();
-    // A message that isn't newer is skipped, and so is a partial one while this
-    // daemon has no complete items to apply it to.
-    if (revision <= state.revision && state.complete) {
-      return import_result::kApplied;
-    }
-    if (revision == 0 || (!is_full && !state.complete)) {
-      return import_result::kApplied;
-    }
-    auto items = ReadItems(&state, message.at(4));
-    if (!items) {
-      net::Log(core::log_level::kInfo, "item of a peer doesn't fit",
-               {{"area", AreaName(state.area)},
-                {"own_revision", std::to_string(state.revision)},
-                {"problem", items.error()}});
-      return import_result::kRejected;
-    }
-    const duration grace{message.at(6).get<duration::rep>()};
-    net::Log(core::log_level::kInfo, "took items over from a peer",
-             {{"area", AreaName(state.area)},
-              {"revision", std::to_string(revision)},
-              {"own_revision", std::to_string(state.revision)},
-              {"all", is_full ? "yes" : "no"},
-              {"items", std::to_string(items->size())},
-              {"removals", std::to_string(message.at(5).size())}});
-    if (is_full) {
-      Replace(&state, std::move(*items), revision, change, grace);
-      return import_result::kApplied;
-    }
-    for (const json& entry : message.at(5)) {
-      Remove(&state, entry.at(0).get<std::string>(),
-             entry.at(1).get<std::uint64_t>(), grace);
-    }
-    for (auto& entry : *items) Apply(&state, std::move(entry.second));
-    // Daemons of earlier versions send no digest.
-    const bool differs = message.size() > 7 &&
-                         message.at(7).get<std::uint64_t>() != state.digest;
-    if (!differs) {
-      state.revision = revision;
-      state.change_revision = std::max(state.change_revision, change);
-    }
-    if (on_changes_applied) on_changes_applied(state.area);
-    return differs ? import_result::kDiffers : import_result::kApplied;
-  } catch (const json::exception& error) {
-    net::Log(core::log_level::kWarning, "items of a peer are unreadable",
-             {{"problem", error.what()}});
-    return import_result::kRejected;
+// Records a removal for peers; beyond the limit, the oldest one is dropped.
+void source_mirror::RecordRemoval(area_state* state, const std::string& key,
+                                  std::uint64_t revision,
+                                  const source_item* last) {
+  if (revision == 0) return;
+  const mesh::source_position position = {state->position.era, revision};
+  removal& recorded = state->removals[key];
+  if (recorded.position < position) {
+    recorded.position = position;
+    if (last != nullptr) recorded.last = *last;
   }
+  if (state->removals.size() <= kMaxRemovals) return;
+  const auto oldest =
+      std::min_element(state->removals.begin(), state->removals.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.position < b.second.position;
+                       });
+  state->removals.erase(oldest);
 }
 
 }  // namespace pimentohall::node
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
 #include <random>
 
 namespace pimentohall::mesh {
@@ -300,8 +301,8 @@
   news.stopping = true;
   news.reads_source = true;
   news.period = milliseconds(828);
-  news.settings_revision = 900;
-  news.upstreams_revision = 901;
+  news.settings_position = {0, 900};
+  news.upstreams_position = {0, 901};
   news.load = load_news{"i-1", 4, 2, 9, 120, 1.25};
   news.admitted = {{1, 2, 30}, {0xffffffffU, 1ULL << 33, 0}};
   news.crashes = {{1ULL << 60, 2, true, 40}};
@@ -310,6 +311,8 @@
   REQUIRE(decoded);
   CHECK(*decoded == news);
   CHECK(decoded->load->slowness == doctest::Approx(1.25));
+  CHECK(decoded->sequence == news.sequence);
+  CHECK(decoded->settings_position == news.settings_position);
   for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
     CHECK_FALSE(DecodeNews(bytes.substr(0, cut), "10.0.0.2"));
   }
@@ -318,6 +321,46 @@
   CHECK_FALSE(DecodeNews("hello", "10.0.0.2"));
 }
 
+// Guards against a fleet of two versions that falls apart: earlier ones take
+// news with exactly these fields, and compare sequences and revisions.
+TEST_CASE("news with an era have the fields of news without one") {
+  peer_news news = NewsFrom("10.0.0.2", 1, 5);
+  news.settings_position = {7, 900};
+  news.upstreams_position = {7, 901};
+  const auto decoded = DecodeNews(EncodeNews(news), "10.0.0.2");
+  REQUIRE(decoded);
+  CHECK(decoded->sequence == 5);
+  CHECK(decoded->settings_position == source_position{7, 900});
+  CHECK(decoded->upstreams_position == source_position{7, 901});
+  const nlohmann::json fields = nlohmann::json::from_cbor(EncodeNews(news));
+  CHECK(fields.size() == 14);
+  CHECK(fields.at(6) == 900);
+  peer_news next = NewsFrom("10.0.0.2", 1, 6);
+  const nlohmann::json before = nlohmann::json::from_cbor(EncodeNews(next));
+  next.settings_position = {8, 12};
+  const nlohmann::json after = nlohmann::json::from_cbor(EncodeNews(next));
+  CHECK(after.at(1) > fields.at(1));
+  CHECK(fields.at(1) > before.at(1));
+  // An area that is still in the era before offers nothing.
+  next.upstreams_position = {7, 901};
+  const auto mixed = DecodeNews(EncodeNews(next), "10.0.0.2");
+  REQUIRE(mixed);
+  CHECK(mixed->settings_position == source_position{8, 12});
+  CHECK(mixed->upstreams_position == source_position{});
+}
+
+TEST_CASE("positions are ordered by era, then by revision") {
+  const source_position lower{1, 900};
+  const source_position higher{2, 3};
+  CHECK(lower < higher);
+  CHECK(higher > lower);
+  CHECK(source_position{2, 2} < higher);
+  CHECK_FALSE(higher < higher);
+  CHECK(higher <= higher);
+  CHECK(ToText(higher) == "2.3");
+  CHECK(ToText({0, 3}) == "3");
+}
+
 // Guards the traffic between zones, which is mostly news.
 TEST_CASE(
     "tenant counts take few bytes of news, and corrupt ones are refused") {
--- a/testing/unit/mirror_fixture.h
+++ b/testing/unit/mirror_fixture.h
@@ -63,12 +63,14 @@
   mirrored()
       : platform(platform::MakeAdapter(net.loop, net.timers, {"127.0.0.1", 1})),
         fleet(net.loop, net.timers, {}, *platform.dialect, 1),
-        mirror(fleet, source) {
-    mirror.on_item = [this](source_area, const source_item& item, duration) {
-      if (item.removed) {
-        in_force.erase(item.key);
+        mirror(fleet, source, *platform.decoder) {
+    mirror.on_item = [this](const source_mirror::item_change& change) {
+      if (change.item.removed) {
+        in_force.erase(change.item.key);
+        values.erase(change.item.key);
       } else {
-        in_force[item.key] = item.revision;
+        in_force[change.item.key] = change.item.revision;
+        values[change.item.key] = change.item.value;
       }
     };
     mirror.Start();
@@ -83,12 +85,24 @@
     REQUIRE(!source.watches[source_area::kUpstreams].empty());
   }
 
+  // Answers the first reads, and those that tell the copy's place in an era.
+  void StartInEra(const source_page& settings, const source_page& upstreams) {
+    for (int round = 0; round < 2; ++round) {
+      source.AnswerRead(source_area::kSettings, settings);
+      source.AnswerRead(source_area::kUpstreams, upstreams);
+      net.RunFor(std::chrono::seconds(2));
+    }
+    REQUIRE(!source.watches[source_area::kUpstreams].empty());
+    REQUIRE(!source.watches[source_area::kSettings].empty());
+  }
+
   net::virtual_harness net;
   adapter platform;
   fleet_state fleet;
   scripted_source source;
   source_mirror mirror;
   std::map<std::string, std::uint64_t> in_force;  // Revisions by key.
+  std::map<std::string, std::string> values;
 };
 
 }  // namespace pimentohall::node
--- a/testing/unit/source_mirror_test.cc
+++ b/testing/unit/source_mirror_test.cc
@@ -12,7 +12,8 @@
   // Revision 7, a change of `a`, is younger than the first page.
   daemon.source.AnswerRead(source_area::kUpstreams, {{Item("a", 5)}, true, 9});
   daemon.source.AnswerRead(source_area::kUpstreams, {{Item("b", 9)}, false, 9});
-  CHECK(daemon.mirror.Revision(source_area::kUpstreams) == 5);
+  CHECK(daemon.mirror.Position(source_area::kUpstreams) ==
+        mesh::source_position{0, 5});
   daemon.source.AnswerRead(source_area::kSettings, {{}, false, 9});
   daemon.net.RunFor(std::chrono::seconds(2));
   REQUIRE(!daemon.source.watches[source_area::kUpstreams].empty());
@@ -21,7 +22,8 @@
       source_area::kUpstreams,
       source_page{{Item("a", 7), Item("b", 9)}, false, 9});
   CHECK(daemon.in_force["a"] == 7);
-  CHECK(daemon.mirror.Revision(source_area::kUpstreams) == 9);
+  CHECK(daemon.mirror.Position(source_area::kUpstreams) ==
+        mesh::source_position{0, 9});
 }
 
 // The same for a page without items: nothing is known of its age.
@@ -29,7 +31,8 @@
   mirrored daemon;
   daemon.source.AnswerRead(source_area::kUpstreams, {{Item("a", 5)}, true, 9});
   daemon.source.AnswerRead(source_area::kUpstreams, {{}, false, 9});
-  CHECK(daemon.mirror.Revision(source_area::kUpstreams) == 0);
+  CHECK(daemon.mirror.Position(source_area::kUpstreams) ==
+        mesh::source_position{0, 0});
 }
 
 // Guards against an upstream that comes back: a watch was answered late, after
@@ -43,12 +46,12 @@
   peer.source.AnswerWatch(
       area, source_page{{Item("a", 7), Removal("a", 9)}, false, 9});
   CHECK(daemon.mirror.Import(peer.mirror.Export(
-            area, 6, source_mirror::export_form::kChanges)) ==
+            {area, source_mirror::export_form::kChanges, {0, 6}})) ==
         source_mirror::import_result::kApplied);
   CHECK(daemon.in_force.count("a") == 0);
   daemon.source.AnswerWatch(area, source_page{{Item("a", 7)}, false, 7});
   CHECK(daemon.in_force.count("a") == 0);
-  CHECK(daemon.mirror.Revision(area) == 9);
+  CHECK(daemon.mirror.Position(area) == mesh::source_position{0, 9});
 }
 
 // The same for a read, when the copy is still without other changes of the
@@ -62,7 +65,7 @@
   peer.source.AnswerWatch(area, source_page{{Removal("a", 9)}, false, 9});
   daemon.source.AnswerWatch(area, tl::unexpected(source_problem::kHistoryGone));
   CHECK(daemon.mirror.Import(peer.mirror.Export(
-            area, 6, source_mirror::export_form::kChanges)) ==
+            {area, source_mirror::export_form::kChanges, {0, 6}})) ==
         source_mirror::import_result::kDiffers);
   CHECK(daemon.in_force.count("a") == 0);
   daemon.source.AnswerRead(
@@ -82,14 +85,14 @@
   daemon.Start({{Item("b", 6)}, false, 6});
   peer.Start({{Item("a", 5), Item("b", 6)}, false, 6});
   peer.source.AnswerWatch(area, source_page{{Item("c", 8)}, false, 8});
-  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kChanges)) ==
-        result::kDiffers);
-  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kList)) ==
+  CHECK(daemon.mirror.Import(peer.mirror.Export(
+            {area, form::kChanges, {0, 6}})) == result::kDiffers);
+  CHECK(daemon.mirror.Import(peer.mirror.Export({area, form::kList, {0, 6}})) ==
         result::kRejected);
-  CHECK(daemon.mirror.Revision(area) == 6);
-  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 0, form::kList)) ==
+  CHECK(daemon.mirror.Position(area) == mesh::source_position{0, 6});
+  CHECK(daemon.mirror.Import(peer.mirror.Export({area, form::kList, {0, 0}})) ==
         result::kApplied);
-  CHECK(daemon.mirror.Revision(area) == 8);
+  CHECK(daemon.mirror.Position(area) == mesh::source_position{0, 8});
   CHECK(daemon.in_force == peer.in_force);
 }
 
@@ -106,9 +109,10 @@
   CHECK(daemon.in_force.count("c") == 1);
   peer.Start({{Item("a", 5), Item("b", 7)}, false, 7});
   using form = source_mirror::export_form;
-  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kChanges)) ==
+  CHECK(daemon.mirror.Import(
+            peer.mirror.Export({area, form::kChanges, {0, 6}})) ==
         source_mirror::import_result::kDiffers);
-  CHECK(daemon.mirror.Import(peer.mirror.Export(area, 6, form::kList)) ==
+  CHECK(daemon.mirror.Import(peer.mirror.Export({area, form::kList, {0, 6}})) ==
         source_mirror::import_result::kApplied);
   CHECK(daemon.in_force.count("b") == 1);
   CHECK(daemon.in_force.count("c") == 1);
