--- a/src/node/carry_rules.cc
+++ b/src/node/carry_rules.cc
@@ -34,7 +34,7 @@
 
 std::optional<duration> CarryEvacuation(const conflict& in) {
   if (in.origin != offer_origin::kCopy) return std::nullopt;
-  if (in.offered == nullptr) return kOperatorRewriteTime;
+  if (in.offered == nullptr) return kEvacuationRewriteTime;
   // It may also be a new evacuation, which must not wait for long.
   return in.held.removed ? std::optional<duration>(kRestoreTime) : std::nullopt;
 }
@@ -45,8 +45,11 @@
 
 std::optional<duration> CarryUpstream(
     const conflict& in, const std::optional<mesh::upstream>& held) {
-  if (in.origin != offer_origin::kCopy) return std::nullopt;
-  if (in.offered == nullptr) return kRestoreTime;
+  if (in.origin == offer_origin::kWritten) return std::nullopt;
+  if (in.offered == nullptr) {
+    const bool may_be_lost = in.origin == offer_origin::kCopy;
+    return may_be_lost ? std::optional<duration>(kMissingTime) : std::nullopt;
+  }
   const auto offered = in.Offered<mesh::upstream>();
   if (!offered) return std::nullopt;
   // The last entry of a removed upstream isn't always known.
--- a/src/node/carry_rules.h
+++ b/src/node/carry_rules.h
@@ -23,10 +23,15 @@
 //
 // Entries are back, as the platform specifies.
 inline constexpr duration kRestoreTime = std::chrono::milliseconds(2000);
+// The same, at all daemons: a reader delays its next watch by up to a second.
+inline constexpr duration kMissingTime = std::chrono::milliseconds(3000);
 // Upstreams that are silent have lost their entries: three of their report
 // intervals of 1.5 s, and the time that the entries take to be back.
 inline constexpr duration kRewriteTime = std::chrono::milliseconds(6500);
-// Operators have made their changes again, or don't want them any more.
+// Operators have evacuated a zone again, or don't want it any more. A zone that
+// stays out without need costs its capacity, so this is short.
+inline constexpr duration kEvacuationRewriteTime = std::chrono::seconds(10);
+// Operators have written their configuration again, or don't want it any more.
 inline constexpr duration kOperatorRewriteTime = std::chrono::seconds(30);
 
 // What is known of an item that the source offers in a new era.
--- a/src/node/mirror_message.cc
+++ b/src/node/mirror_message.cc
@@ -6,8 +6,8 @@
 // An item is an array of key, value and revision. A packed value is followed by
 // the revision that it is a patch of, 0 for none. An item that the receiver
 // holds is an array of key, revision and, with an era, its hash. A carried
-// change is an array of key, packed value (null: removed), revision and the
-// milliseconds that it has left.
+// change is an array of key, packed value, revision, the milliseconds that it
+// has left, and whether it is a removal; the value then is the last one.
 
 #include "node/mirror_message.h"
 
@@ -69,23 +69,21 @@
 json EncodeCarried(const mirror_message::carried& carried) {
   const source_item& item = carried.item;
   return json::array(
-      {item.key,
-       item.removed ? json(nullptr) : Binary(mesh::Pack(item.value, {})),
-       item.revision,
-       std::chrono::duration_cast<milliseconds>(carried.remaining).count()});
+      {item.key, Binary(mesh::Pack(item.value, {})), item.revision,
+       std::chrono::duration_cast<milliseconds>(carried.remaining).count(),
+       item.removed});
 }
 
 tl::expected<mirror_message::carried, std::string> DecodeCarried(
     const json& encoded) {
   mirror_message::carried carried;
   carried.item.key = encoded.at(0).get<std::string>();
-  carried.item.revision = encoded.at(2).get<std::uint64_t>();
-  carried.remaining = milliseconds(encoded.at(3).get<std::uint32_t>());
-  carried.item.removed = encoded.at(1).is_null();
-  if (carried.item.removed) return carried;
   auto value = mesh::Unpack(FromBinary(encoded.at(1)), {}, kMaxValueBytes);
   if (!value) return tl::unexpected(value.error());
   carried.item.value = std::move(*value);
+  carried.item.revision = encoded.at(2).get<std::uint64_t>();
+  carried.remaining = milliseconds(encoded.at(3).get<std::uint32_t>());
+  carried.item.removed = encoded.at(4).get<bool>();
   return carried;
 }
 
--- a/src/node/source_exchange.cc
+++ b/src/node/source_exchange.cc
@@ -124,16 +124,21 @@
   message.expiry_grace = ExpiryGrace(state);
   message.digest = state.digest;
   for (const auto& [key, removed] : state.removals) {
-    if (is_full || removed.position.era != state.position.era ||
-        removed.position.revision <= query.since.revision ||
+    if (removed.position.era != state.position.era ||
         state.items.count(key) != 0) {
       continue;
     }
+    // A list shows what isn't held. With eras it can't show whether a missing
+    // item was removed in this era or lost by the source.
+    const bool is_needed =
+        is_full ? query.knows_eras
+                : removed.position.revision > query.since.revision;
+    if (!is_needed) continue;
     message.removals.push_back({key, removed.position.revision});
   }
   if (query.knows_eras && is_full) {
     for (const auto& [key, carried] : state.carried) {
-      if (carried.until <= now) continue;
+      if (carried.until <= now || carried.is_inferred) continue;
       message.carried_changes.push_back({carried.item, carried.until - now});
     }
   }
@@ -207,8 +212,17 @@
   if (!message.is_full) {
     return ImportChanges(&state, message, std::move(*items));
   }
+  // What the peer knows of the eras before has to be known before the copy of
+  // the new one is put in force.
+  if (!same_era) AdoptCarried(&state, message);
   Replace(&state, std::move(*items), message.position, message.change_revision,
           message.expiry_grace);
+  for (const mirror_message::removal& each : message.removals) {
+    Remove(&state, each.key, each.revision, message.expiry_grace);
+  }
+  if (!message.removals.empty() && on_changes_applied) {
+    on_changes_applied(state.area);
+  }
   ImportCarried(&state, message);
   return import_result::kApplied;
 }
@@ -230,36 +244,61 @@
   return differs ? import_result::kDiffers : import_result::kApplied;
 }
 
-void source_mirror::ImportCarried(area_state* state,
-                                  const mirror_message& message) {
-  if (!message.is_full || message.position.era == 0 ||
-      message.position.era != state->position.era) {
-    return;
+std::optional<duration> source_mirror::CarryTimeOfPeer(
+    const area_state& state, const source_item& item) const {
+  if (state.carried.count(item.key) != 0) return std::nullopt;
+  // The peer doesn't know which start of an upstream was removed.
+  if (item.removed && item.value.empty()) return std::nullopt;
+  const auto held = state.items.find(item.key);
+  const source_item* const offered =
+      held == state.items.end() ? nullptr : &held->second;
+  const bool same = offered == nullptr
+                        ? item.removed
+                        : !item.removed && item.value == offered->value;
+  if (same) return std::nullopt;
+  const auto removed = state.removals.find(item.key);
+  if (offered == nullptr && removed != state.removals.end()) {
+    if (removed->second.position.era == state.position.era) return std::nullopt;
+    // This daemon knows of a removal that the peer doesn't.
+    const bool is_later =
+        CarryTime(decoder_, Tombstone(item.key, removed->second), &item,
+                  offer_origin::kCopy)
+            .has_value();
+    if (is_later) return std::nullopt;
   }
-  state->introduced_era = message.position.era;
+  const bool is_written =
+      offered != nullptr && offered->revision > state.era_revision;
+  return CarryTime(decoder_, item, offered,
+                   is_written ? offer_origin::kWritten : offer_origin::kCopy);
+}
+
+void source_mirror::AdoptCarried(area_state* state,
+                                 const mirror_message& message) {
   const instant now = fleet_.loop.Now();
   bool changed = false;
   for (const mirror_message::carried& each : message.carried_changes) {
     const std::string& key = each.item.key;
-    if (state->carried.count(key) != 0) continue;
-    const auto held = state->items.find(key);
-    const source_item* const offered =
-        held == state->items.end() ? nullptr : &held->second;
-    const bool same =
-        offered == nullptr
-            ? each.item.removed
-            : !each.item.removed && each.item.value == offered->value;
-    if (same) continue;
-    const auto time =
-        CarryTime(decoder_, each.item, offered, offer_origin::kCopy);
+    const auto time = CarryTimeOfPeer(*state, each.item);
     if (!time) continue;
     std::optional<source_item> before;
-    if (offered != nullptr) before = *offered;
-    state->carried[key] = {each.item, now + std::min(*time, each.remaining)};
+    const auto held = state->items.find(key);
+    if (held != state->items.end()) before = held->second;
+    state->carried[key] = {each.item, now + std::min(*time, each.remaining),
+                           false};
     Report(state, key, before ? &*before : nullptr, false);
     changed = true;
   }
   if (changed && on_changes_applied) on_changes_applied(state->area);
 }
 
+void source_mirror::ImportCarried(area_state* state,
+                                  const mirror_message& message) {
+  if (!message.is_full || message.position.era == 0 ||
+      message.position.era != state->position.era) {
+    return;
+  }
+  state->introduced_era = message.position.era;
+  AdoptCarried(state, message);
+}
+
 }  // namespace pimentohall::node
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -24,6 +24,9 @@
 // Readers that lost the source are replaced after this time. It exceeds the
 // time that news take to report that a daemon began to read.
 constexpr duration kTakeoverDelay = milliseconds(1000);
+// A daemon that was paused or cut off may have missed that a carried change was
+// made again. It ends one only once changes have reached it for this long.
+constexpr duration kMinFedTime = milliseconds(1000);
 // The source usually answers within a few milliseconds; when it is slow, within
 // some hundreds.
 constexpr duration kReadTimeout = milliseconds(1500);
@@ -114,6 +117,14 @@
       });
 }
 
+bool source_mirror::IsFed(instant now) const {
+  if (IsReading()) return true;
+  const auto& peers = fleet_.peers.Peers();
+  return std::any_of(peers.begin(), peers.end(), [this, now](const auto& each) {
+    return each.second.reads_source && fleet_.peers.IsHeard(each.first, now);
+  });
+}
+
 bool source_mirror::ShouldRead(instant now) const {
   if (fleet_.peers.IsSelected(kReaderCount, now)) return true;
   return few_readers_since_ && now - *few_readers_since_ >= kTakeoverDelay;
@@ -145,6 +156,11 @@
 
 void source_mirror::RunMaintenance() {
   const instant now = fleet_.loop.Now();
+  if (!IsFed(now)) {
+    fed_since_.reset();
+  } else if (!fed_since_) {
+    fed_since_ = now;
+  }
   for (area_state& state : areas_) EndCarried(&state);
   if (fleet_.peers.CountReadersBefore(now) >= kReaderCount) {
     few_readers_since_.reset();
@@ -374,6 +390,7 @@
   const instant now = fleet_.loop.Now();
   state->answered = {page.era, page.revision};
   answered_at_ = now;
+  state->answered_at = now;
   state->failures = 0;
   fleet_.metrics.CountSource("answered");
   if (state->connected) return;
@@ -515,21 +532,19 @@
                            std::uint64_t revision, duration expiry_grace) {
   const auto found = state->items.find(key);
   const bool is_held = found != state->items.end();
+  const auto carried = state->carried.find(key);
+  std::optional<source_item> in_force;
+  if (is_held) in_force = found->second;
+  if (carried != state->carried.end()) in_force = carried->second.item;
   state->change_revision = std::max(state->change_revision, revision);
-  RecordRemoval(state, key, revision, is_held ? &found->second : nullptr);
+  RecordRemoval(state, key, revision, in_force ? &*in_force : nullptr);
   if (is_held && revision != 0 && found->second.revision > revision) return;
-  std::optional<source_item> in_force;
   if (is_held) {
     state->digest -= ItemHash(found->second, state->position.era);
-    in_force = std::move(found->second);
     state->patches.erase(key);
     state->items.erase(found);
   }
-  const auto carried = state->carried.find(key);
-  if (carried != state->carried.end()) {
-    in_force = std::move(carried->second.item);
-    state->carried.erase(carried);
-  }
+  if (carried != state->carried.end()) state->carried.erase(carried);
   if (!in_force || in_force->removed) return;
   in_force->removed = true;
   if (revision != 0) in_force->revision = revision;
@@ -575,14 +590,19 @@
   if (on_changes_applied) on_changes_applied(state->area);
 }
 
+source_item source_mirror::Tombstone(const std::string& key,
+                                     const removal& removed) {
+  source_item item = removed.last;
+  item.key = key;
+  item.removed = true;
+  return item;
+}
+
 std::map<std::string, source_item> source_mirror::InForce(
     const area_state& state) {
   std::map<std::string, source_item> in_force;
   for (const auto& [key, removed] : state.removals) {
-    source_item& item = in_force[key];
-    item = removed.last;
-    item.key = key;
-    item.removed = true;
+    in_force[key] = Tombstone(key, removed);
   }
   for (const auto& [key, item] : state.items) in_force[key] = item;
   for (const auto& [key, carried] : state.carried) in_force[key] = carried.item;
@@ -619,7 +639,10 @@
   for (const auto& [key, item] : in_force) {
     const auto offered = state->items.find(key);
     const bool is_offered = offered != state->items.end();
-    if (item.removed && !is_offered) continue;
+    if (item.removed && !is_offered) {
+      state->removals[key].last = item;
+      continue;
+    }
     const bool same =
         is_offered && !item.removed && offered->second.value == item.value;
     const auto time =
@@ -627,8 +650,13 @@
              : CarryTime(decoder_, item,
                          is_offered ? &offered->second : nullptr, origin);
     if (time) {
-      state->carried[key] = {item, now + *time};
+      const auto removed = state->removals.find(key);
+      const bool is_inferred = item.removed &&
+                               removed != state->removals.end() &&
+                               removed->second.position.revision == 0;
+      state->carried[key] = {item, now + *time, is_inferred};
     } else if (!same || item.revision != offered->second.revision) {
+      if (!is_offered) state->removals[key].last = item;
       Report(state, key, &item, true);
     }
   }
@@ -641,11 +669,31 @@
   if (on_changes_applied) on_changes_applied(state->area);
 }
 
+instant source_mirror::EndOfCarried(const area_state& state,
+                                    const carried_change& carried) const {
+  if (!fed_since_) return instant::max();
+  // An upstream that isn't back by then counts as gone, and a zone that the
+  // source shows as taken out is.
+  const bool sends_less = state.area == source_area::kUpstreams
+                              ? state.items.count(carried.item.key) == 0
+                              : carried.item.removed;
+  if (sends_less) return std::max(carried.until, *fed_since_ + kMinFedTime);
+  // All else may bring back what its writer has ended again while the source
+  // was away once more. So it ends only once an answer of the source since then
+  // shows that nothing new came.
+  if (IsReading()) {
+    return state.answered_at < carried.until ? instant::max() : carried.until;
+  }
+  // A reader counts as one for this long after its last answer.
+  constexpr duration kMaxAnswerAge = kBackupWatchDuration + kAnswerGrace;
+  return std::max(carried.until, *fed_since_) + kMaxAnswerAge;
+}
+
 void source_mirror::EndCarried(area_state* state) {
   const instant now = fleet_.loop.Now();
   std::vector<source_item> ended;
   for (auto it = state->carried.begin(); it != state->carried.end();) {
-    if (it->second.until > now) {
+    if (now < EndOfCarried(*state, it->second)) {
       ++it;
       continue;
     }
@@ -658,6 +706,9 @@
              {{"key", item.key},
               {"revision", std::to_string(item.revision)},
               {"removal", item.removed ? "yes" : "no"}});
+    if (!item.removed && state->items.count(item.key) == 0) {
+      state->removals[item.key].last = item;
+    }
     Report(state, item.key, &item, true);
   }
   if (on_changes_applied) on_changes_applied(state->area);
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -143,6 +143,7 @@
   static constexpr std::size_t kLargeValueBytes = 8 * 1024;
 
   struct removal {
+    // Zero if only a new era's copy, in which the item is missing, told of it.
     mesh::source_position position;
     source_item last;  // Its value is empty if this daemon didn't hold it.
   };
@@ -151,6 +152,8 @@
   struct carried_change {
     source_item item;  // `removed`: it's known to be removed.
     instant until{};
+    // A removal that only a new era's copy told of; peers needn't share it.
+    bool is_inferred = false;
   };
   struct area_state {
     source_area area = source_area::kSettings;
@@ -174,9 +177,10 @@
     std::set<std::string> new_in_era;
     std::map<std::string, carried_change> carried;
     std::uint64_t introduced_era = 0;  // See `IsIntroduced`.
-    mesh::source_position answered;    // Place of the source's last answer.
-    bool reading = false;              // A read is in flight.
-    bool watching = false;             // A watch is in flight.
+    mesh::source_position answered;    // Place of the last answer.
+    instant answered_at{};
+    bool reading = false;   // A read is in flight.
+    bool watching = false;  // A watch is in flight.
     bool connected = false;
     bool loss_logged = false;
     instant lost_at{};
@@ -232,12 +236,19 @@
   // Replaces the items of an earlier era.
   void EnterEra(area_state* state, std::map<std::string, source_item> items,
                 const mesh::source_position& position);
+  // The removed item, marked so.
+  static source_item Tombstone(const std::string& key, const removal& removed);
   // What is in force by key, with the removals that are known.
   static std::map<std::string, source_item> InForce(const area_state& state);
   // Reports the item in force for this key. `before`: the one so far, or null.
   void Report(area_state* state, const std::string& key,
               const source_item* before, bool ends_carried);
   void EndCarried(area_state* state);
+  instant EndOfCarried(const area_state& state,
+                       const carried_change& carried) const;
+  // Changes of the source reach this daemon: its own watches are answered, or a
+  // daemon whose watches are answered is heard.
+  bool IsFed(instant now) const;
   bool Apply(area_state* state, source_item item);
   void RecordPatch(area_state* state, const source_item& held,
                    const source_item& next);
@@ -254,7 +265,13 @@
   // No value: a patch is missing.
   std::optional<std::vector<mirror_message::item>> ExportItems(
       area_state* state, const export_query& query, bool is_full);
+  // How long a peer's carried change is to be in force here; none: not at all,
+  // as this daemon knows as much or more of its key.
+  std::optional<duration> CarryTimeOfPeer(const area_state& state,
+                                          const source_item& item) const;
   // Puts a peer's carried changes in force that this daemon doesn't know.
+  void AdoptCarried(area_state* state, const mirror_message& message);
+  // The same, if the copies are of the same era.
   void ImportCarried(area_state* state, const mirror_message& message);
   void RecordRemoval(area_state* state, const std::string& key,
                      std::uint64_t revision, const source_item* last);
@@ -269,6 +286,7 @@
   area_state areas_[2];
   std::uint64_t era_ = 0;  // See `Era`.
   instant answered_at_{};
+  std::optional<instant> fed_since_;  // See `IsFed`; none: it isn't.
   // Since when too few readers precede this daemon; none: there are enough.
   std::optional<instant> few_readers_since_;
 };
--- a/testing/unit/virtual_harness.h
+++ b/testing/mirror_model/virtual_harness.h
@@ -1,5 +1,5 @@
-#ifndef PIMENTOHALL_UNIT_VIRTUAL_HARNESS_H_
-#define PIMENTOHALL_UNIT_VIRTUAL_HARNESS_H_
+#ifndef PIMENTOHALL_TESTING_MIRROR_MODEL_VIRTUAL_HARNESS_H_
+#define PIMENTOHALL_TESTING_MIRROR_MODEL_VIRTUAL_HARNESS_H_
 
 // An event loop and timers in virtual time. Nothing in it may use sockets.
 
@@ -34,4 +34,4 @@
 
 }  // namespace pimentohall::net
 
-#endif  // PIMENTOHALL_UNIT_VIRTUAL_HARNESS_H_
+#endif  // PIMENTOHALL_TESTING_MIRROR_MODEL_VIRTUAL_HARNESS_H_
--- a/testing/unit/mirror_fixture.h
+++ b/testing/unit/mirror_fixture.h
@@ -11,7 +11,7 @@
 
 #include "node/source_mirror.h"
 #include "platform/platform.h"
-#include "virtual_harness.h"
+#include "mirror_model/virtual_harness.h"
 
 namespace pimentohall::node {
 
--- a/testing/unit/source_era_test.cc
+++ b/testing/unit/source_era_test.cc
@@ -1,15 +1,13 @@
 // Tests of the copy of a source that comes back from an older copy: its
 // revisions are given out again, in a new era.
 
-#include <nlohmann/json.hpp>
-
 #include "mirror_fixture.h"
+#include "mirror_model/documents.h"
 #include "node/carry_rules.h"
 
 namespace pimentohall::node {
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using export_form = source_mirror::export_form;
@@ -18,21 +16,14 @@
 constexpr auto kUpstreams = source_area::kUpstreams;
 
 source_item Entry(const std::string& id, std::uint64_t revision, int reports,
-                  const std::string& state = "ready", int born = 1000) {
-  const json value = {{"service", "ledger"}, {"address", "10.0.0.1:80"},
-                      {"zone", "z"},         {"version", "v1"},
-                      {"slots", 4},          {"state", state},
-                      {"warmupLeftMs", 0},   {"sequence", reports},
-                      {"born", born}};
-  return {"servers/" + id, value.dump(), revision, false};
+                  const std::string& state = "ready",
+                  std::uint64_t born = 1000) {
+  return {"servers/" + id, testing::EntryDocument(reports, state, born),
+          revision, false};
 }
 
 source_item Config(int version, std::uint64_t revision, std::size_t size = 0) {
-  const json value = {{"version", "r" + std::to_string(version)},
-                      {"routes", json::array()},
-                      {"services", json::array()},
-                      {"padding", std::string(size, 'p')}};
-  return {"op/config", value.dump(), revision, false};
+  return {"op/config", testing::ConfigDocument(version, size), revision, false};
 }
 
 source_item Evacuation(std::uint64_t revision) {
@@ -69,13 +60,19 @@
     source.AnswerWatch(area, Page({std::move(item)}, revision, era));
     net.RunFor(milliseconds(300));
   }
-  // Maintenance runs every 0.1 s in a daemon.
+  // Maintenance runs every 0.1 s in a daemon; the source answers watches.
   void RunFor(core::duration time) {
     for (core::duration run{0}; run < time; run += milliseconds(100)) {
       net.RunFor(milliseconds(100));
       mirror.RunMaintenance();
+      for (const source_area area : kSourceAreas) {
+        if (!answers_watches || source.watches[area].empty()) continue;
+        const mesh::source_position at = mirror.Position(area);
+        source.AnswerWatch(area, Page({}, at.revision, at.era));
+      }
     }
   }
+  bool answers_watches = true;
   std::map<std::string, std::string> Upstreams() const {
     auto upstreams = values;
     upstreams.erase("op/config");
@@ -192,17 +189,31 @@
   CHECK_FALSE(daemon.Draining("a"));
 }
 
+// Guards against a daemon that was cut off, or paused, while a change was made
+// again, and that ends it before it learns so.
+TEST_CASE("a daemon that the source's changes don't reach ends no change") {
+  in_first_era daemon({Entry("a", 12, 4)});
+  daemon.Event(kUpstreams, Entry("a", 25, 5, "draining"), 1);
+  daemon.Return({Entry("a", 12, 4)}, {}, 14, 2);
+  daemon.answers_watches = false;
+  daemon.RunFor(kRewriteTime + seconds(10));
+  CHECK(daemon.Draining("a"));
+  daemon.answers_watches = true;
+  daemon.RunFor(seconds(2));
+  CHECK_FALSE(daemon.Draining("a"));
+}
+
 TEST_CASE("an upstream that the source lost is kept until it is back") {
   in_first_era daemon({Entry("a", 12, 1), Entry("b", 19, 1)});
   daemon.Return({Entry("a", 12, 1)}, {}, 14, 2);
   CHECK(daemon.in_force.count("servers/b") == 1);
   SUBCASE("it's back") {
     daemon.Event(kUpstreams, Entry("b", 15, 2), 2);
-    daemon.RunFor(kRestoreTime + seconds(1));
+    daemon.RunFor(kMissingTime + seconds(1));
     CHECK(daemon.in_force["servers/b"] == 15);
   }
   SUBCASE("it's gone") {
-    daemon.RunFor(kRestoreTime - milliseconds(300));
+    daemon.RunFor(kMissingTime - milliseconds(300));
     CHECK(daemon.in_force.count("servers/b") == 1);
     daemon.RunFor(milliseconds(500));
     CHECK(daemon.in_force.count("servers/b") == 0);
@@ -258,7 +269,9 @@
     CHECK(daemon.in_force.count("op/evacuate/z") == 0);
   }
   SUBCASE("not made again") {
-    daemon.RunFor(kOperatorRewriteTime + seconds(1));
+    daemon.RunFor(kEvacuationRewriteTime - seconds(1));
+    CHECK(daemon.in_force.count("op/evacuate/z") == 1);
+    daemon.RunFor(seconds(2));
     CHECK(daemon.in_force.count("op/evacuate/z") == 0);
   }
 }
