--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -35,6 +35,9 @@
 constexpr milliseconds kRecovery(6000);
 constexpr milliseconds kLastPhase(3000);
 constexpr double kServedAfterRecovery = 0.95;
+// Changes that the store has lost are made again within this time.
+constexpr int kMaxRewriteMs = 1500;
+constexpr std::size_t kMaxCopies = 100;
 constexpr int kOtherRoutes = 100;  // Some 20 KB of settings.
 
 struct vm : vm_process {
@@ -65,10 +68,13 @@
 class soak {
  public:
   explicit soak(const soak_options& options)
-      : options_(options), random_(options.seed), store_(loop_.Base()) {}
+      : options_(options), random_(options.seed), store_(loop_.Base()) {
+    store_.SetEra(1);
+  }
 
   soak_report Run() {
     if (!SetUp()) return std::move(report_);
+    TakeCopies();
     RunFor(kWarmUp);
     calling_ = true;
     ScheduleCall();
@@ -133,8 +139,29 @@
         {{"name", "changing"},
          {"apiKeys", {"key-" + std::to_string(key_)}},
          {"ratePerS", 0}}};
-    store_.Put("op/config",
-               ConfigurationDocument(version_, routes, tenants).dump());
+    Publish("op/config",
+            ConfigurationDocument(version_, routes, tenants).dump());
+  }
+
+  // Puts or removes a key. While the store is away, and when it has lost the
+  // change, it's made again.
+  void Publish(const std::string& key,
+               const std::optional<std::string>& value) {
+    published_[key] = value;
+    PublishAgain(key);
+  }
+  void PublishAgain(const std::string& key) {
+    if (store_is_away_) {
+      After(milliseconds(100), [this, key] { PublishAgain(key); });
+      return;
+    }
+    const std::optional<std::string>& value = published_[key];
+    if (store_.Find(key) == value) return;
+    if (value) {
+      store_.Put(key, *value);
+    } else {
+      store_.Remove(key);
+    }
   }
 
   // A new start of the upstream, and its entry.
@@ -146,7 +173,7 @@
   }
 
   void PutEntry(const vm& of, const char* state) {
-    store_.Put("servers/" + of.Start(), fleet_.Entry(of, state).dump());
+    Publish("servers/" + of.Start(), fleet_.Entry(of, state).dump());
   }
 
   // -------------------------------------------------------------------------
@@ -424,7 +451,7 @@
           &soak::StopDaemon,    &soak::ReloadDaemon,  &soak::HarmStore,
           &soak::HarmStoreLink, &soak::HarmUpstream,  &soak::HarmUpstreamLink,
           &soak::HarmUpstream,  &soak::DrainUpstream, &soak::ReplaceUpstream,
-          &soak::ChangeKey,     &soak::KillHerd};
+          &soak::ChangeKey,     &soak::KillHerd,      &soak::ReturnOlder};
       const int which = Draw(0, static_cast<int>(std::size(kFaults)) - 1);
       (this->*kFaults[which])(DrawVm(), milliseconds(Draw(300, 2500)));
       ScheduleFault();
@@ -490,6 +517,40 @@
     After(time, [this] { store_.SetMode(store_mode::kServing); });
   }
 
+  // The store goes away and comes back from a copy some seconds old.
+  void ReturnOlder(vm*, milliseconds) {
+    if (store_is_away_) return;
+    const milliseconds away(Draw(50, 500));
+    const milliseconds age(Draw(300, 5000));
+    Note("store away for " + std::to_string(away.count()) +
+         " ms, back as it was " + std::to_string(age.count()) + " ms before");
+    DisturbFleet(away + kCalm);
+    // Writes of others raise the counter, and aren't made again.
+    for (int left = Draw(0, 60); left > 0; --left) store_.Put("else", "x");
+    store_is_away_ = true;
+    store_.SetMode(store_mode::kBusy);
+    After(away, [this, age] {
+      const instant then = loop_.Now() - age;
+      auto chosen = copies_.front().second;
+      for (const auto& [at, copy] : copies_) {
+        if (at <= then) chosen = copy;
+      }
+      store_.Restore(*chosen);
+      store_.SetMode(store_mode::kServing);
+      store_is_away_ = false;
+      for (const auto& [key, value] : published_) {
+        if (store_.Find(key) == value) continue;
+        After(milliseconds(Draw(100, kMaxRewriteMs)),
+              [this, key = key] { PublishAgain(key); });
+      }
+    });
+  }
+  void TakeCopies() {
+    copies_.emplace_back(loop_.Now(), store_.Copy());
+    if (copies_.size() > kMaxCopies) copies_.erase(copies_.begin());
+    After(milliseconds(100), [this] { TakeCopies(); });
+  }
+
   void HarmLink(tcp_proxy* proxy, milliseconds time, const std::string& what) {
     const int mode = Draw(1, 5);
     Note("harm " + std::to_string(mode) + " to " + what);
@@ -534,7 +595,7 @@
     Leave(at);
     PutEntry(*at, "draining");
     After(kDrainBound + milliseconds(1500), [this, at] {
-      store_.Remove("servers/" + at->Start());
+      Publish("servers/" + at->Start(), std::nullopt);
       List(at);
     });
   }
@@ -544,7 +605,7 @@
     if (!at->listed) return;
     Note("replace the upstream of " + at->Name());
     Leave(at);
-    store_.Remove("servers/" + at->Start());
+    Publish("servers/" + at->Start(), std::nullopt);
     After(kDrainBound + time, [this, at] { List(at); });
   }
 
@@ -570,6 +631,10 @@
   int key_ = 1;
   instant key_changed_at_{};
   instant fleet_disturbed_until_{};
+  std::map<std::string, std::optional<std::string>> published_;  // By key.
+  bool store_is_away_ = false;
+  std::vector<std::pair<instant, std::shared_ptr<const store_standin::copy>>>
+      copies_;
   bool calling_ = false;
   bool faults_over_ = false;
   run_log runs_;
--- a/testing/store_standin/store.cc
+++ b/testing/store_standin/store.cc
@@ -72,6 +72,12 @@
   Notify();
 }
 
+std::optional<std::string> store_standin::Find(const std::string& key) const {
+  const auto found = items_.find(key);
+  if (found == items_.end()) return std::nullopt;
+  return found->second.value;
+}
+
 void store_standin::Compact() {
   history_.clear();
   oldest_ = revision_;
--- a/testing/store_standin/store.h
+++ b/testing/store_standin/store.h
@@ -54,6 +54,8 @@
   void SetEra(std::uint64_t era) { era_ = era; }
   std::uint64_t Era() const { return era_; }
   std::uint64_t Revision() const { return revision_; }
+  // The value of a key; none: the store doesn't hold it.
+  std::optional<std::string> Find(const std::string& key) const;
   // Reads that may lag get the items as they are now, from now on.
   void FreezeLaggingReads() { lagging_ = items_; }
   void SetPageSize(std::size_t items) { page_size_ = items; }
