Mend what a review of the eras found

Mended, with a test where it breaks a promise: - a daemon that starts from a stale read took a lost evacuation or upstream over from a peer and dropped it in the same message, as nothing of an unknown era was carried (new test; in the code before, the zone was taken back at once) - a list that was asked for only to learn what the source lost led to reads of the source, every 0.15 s on a reader, when it was refused; it is asked for at most three times in a row now - an era of 0 in the header counted as no header, so the first return would have carried nothing; internally eras begin at 1 (platform_test) - one message with an impossible era made a daemon drop all answers of the source (new test); an era is learned once a message fits - removals recorded beside a new copy weren't bounded - lists were asked of daemons that know no eras where changes do

--- a/include/pimentohall/net.h
+++ b/include/pimentohall/net.h
@@ -62,7 +62,8 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  // By default the time of CLOCK_BOOTTIME, which includes time spent in suspend.
+  // By default the time of CLOCK_BOOTTIME, which includes time spent in
+  // suspend.
   core::instant Now() const;
   // Runs until `Stop`.
   void Run();
--- a/src/node/mirror_message.cc
+++ b/src/node/mirror_message.cc
@@ -109,6 +109,9 @@
   message.digest = fields.at(7).get<std::uint64_t>();
   if (fields.size() == kFieldsWithoutEra) return message;
   message.position.era = fields.at(8).get<std::uint64_t>();
+  if (message.position.era > mesh::kMaxSourceEra) {
+    return tl::unexpected<std::string>("the era is too large");
+  }
   for (const json& each : fields.at(9)) {
     auto carried = DecodeCarried(each);
     if (!carried) return tl::unexpected(carried.error());
--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -195,6 +195,13 @@
     return;
   }
   const bool peers_fail = progress->failures >= kMaxPeerFailures;
+  const auto* const reported = fleet_.peers.Find(ahead);
+  if (reported != nullptr &&
+      ReportedPosition(*reported, area) <= mirror_.Position(area)) {
+    // Only what the source has lost is missing, which no read of it brings.
+    if (!peers_fail) Fetch(area, progress, ahead);
+    return;
+  }
   if ((progress->needs_whole || peers_fail) && mirror_.CanRead(area)) {
     mirror_.RequestRead(area);
     return;
@@ -206,7 +213,8 @@
                                     const area_progress& progress,
                                     const mesh::source_position& of) const {
   const bool other_era = of.era != mirror_.Position(area).era;
-  if (progress.needs_list || other_era || !mirror_.IsIntroduced(area)) {
+  const bool introduces = of.era != 0 && !mirror_.IsIntroduced(area);
+  if (progress.needs_list || other_era || introduces) {
     return export_form::kList;
   }
   if (area == source_area::kUpstreams || progress.needs_whole) {
--- a/src/node/source_exchange.cc
+++ b/src/node/source_exchange.cc
@@ -184,7 +184,6 @@
   area_state& state = At(message.area);
   // A copy of an unknown era, or of an earlier version's daemon.
   if (message.position.era < state.position.era) return import_result::kApplied;
-  LearnEra(message.position.era);
   const bool same_era = message.position.era == state.position.era;
   const bool is_known = state.complete && message.position <= state.position;
   // Changes are of no use without the items that they are based on.
@@ -202,6 +201,7 @@
               {"problem", items.error()}});
     return import_result::kRejected;
   }
+  LearnEra(message.position.era);
   net::Log(core::log_level::kInfo, "took items over from a peer",
            {{"area", AreaName(state.area)},
             {"revision", mesh::ToText(message.position)},
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -76,6 +76,17 @@
   return "unreadable";
 }
 
+// Keeps the newest of the removals that are recorded for peers.
+template <typename removal_map>
+void DropOldest(removal_map* removals) {
+  while (removals->size() > kMaxRemovals) {
+    removals->erase(std::min_element(
+        removals->begin(), removals->end(), [](const auto& a, const auto& b) {
+          return a.second.position < b.second.position;
+        }));
+  }
+}
+
 // Delay before the next call after this many failures in a row.
 duration RetryDelay(int failures) {
   const int doublings = std::clamp(failures - 1, 0, 3);
@@ -613,7 +624,6 @@
                              std::map<std::string, source_item> items,
                              const mesh::source_position& position) {
   const bool knew_era = state->position.era != 0;
-  const auto origin = knew_era ? offer_origin::kCopy : offer_origin::kFirstEra;
   const instant now = fleet_.loop.Now();
   const mesh::source_position before = std::exchange(state->position, position);
   const auto in_force = InForce(*state);
@@ -621,7 +631,7 @@
   state->digest = 0;
   state->patches.clear();
   state->packed_key.clear();
-  state->carried.clear();
+  const auto carried_before = std::exchange(state->carried, {});
   state->new_in_era.clear();
   state->era_began = now;
   state->era_revision = position.revision;
@@ -645,6 +655,10 @@
     }
     const bool same =
         is_offered && !item.removed && offered->second.value == item.value;
+    // A copy of an unknown era carries only what a peer knows.
+    const auto origin = knew_era || carried_before.count(key) != 0
+                            ? offer_origin::kCopy
+                            : offer_origin::kFirstEra;
     const auto time =
         same ? std::nullopt
              : CarryTime(decoder_, item,
@@ -660,6 +674,7 @@
       Report(state, key, &item, true);
     }
   }
+  DropOldest(&state->removals);
   net::Log(core::log_level::kInfo, "copy entered an era of the source",
            {{"area", AreaName(state->area)},
             {"revision", mesh::ToText(position)},
@@ -711,6 +726,7 @@
     }
     Report(state, item.key, &item, true);
   }
+  DropOldest(&state->removals);
   if (on_changes_applied) on_changes_applied(state->area);
 }
 
@@ -725,13 +741,7 @@
     recorded.position = position;
     if (last != nullptr) recorded.last = *last;
   }
-  if (state->removals.size() <= kMaxRemovals) return;
-  const auto oldest =
-      std::min_element(state->removals.begin(), state->removals.end(),
-                       [](const auto& a, const auto& b) {
-                         return a.second.position < b.second.position;
-                       });
-  state->removals.erase(oldest);
+  DropOldest(&state->removals);
 }
 
 }  // namespace pimentohall::node
--- a/testing/mirror_model/main.cc
+++ b/testing/mirror_model/main.cc
@@ -34,7 +34,8 @@
   int returns = 0;
   for (int i = 0; i < seeds.getValue(); ++i) {
     model_options options;
-    options.seed = static_cast<std::uint64_t>(seed.getValue() + i);
+    options.seed = static_cast<std::uint64_t>(seed.getValue()) +
+                   static_cast<std::uint64_t>(i);
     options.daemons = daemons.getValue();
     options.eras = !none.getValue();
     options.hide_eras = hide.getValue();
--- a/testing/mirror_model/model_daemon.cc
+++ b/testing/mirror_model/model_daemon.cc
@@ -32,7 +32,7 @@
   return key + "/" + entry.at("born").dump();
 }
 
-model_daemon::model_daemon(schedule& events, std::string address,
+model_daemon::model_daemon(schedule& events, const std::string& address,
                            std::uint32_t boot,
                            std::vector<std::string> addresses, hooks used)
     : hooks_(std::move(used)),
--- a/testing/mirror_model/model_daemon.h
+++ b/testing/mirror_model/model_daemon.h
@@ -45,7 +45,7 @@
     std::function<bool(const std::string& key, const std::string& value)>
         serves;
   };
-  model_daemon(schedule& events, std::string address, std::uint32_t boot,
+  model_daemon(schedule& events, const std::string& address, std::uint32_t boot,
                std::vector<std::string> addresses, hooks used);
   ~model_daemon() override;
 
--- a/testing/store_standin/store.cc
+++ b/testing/store_standin/store.cc
@@ -97,7 +97,7 @@
   oldest_ = from.oldest;
   items_ = from.items;
   history_ = from.history;
-  if (era_ != 0) ++era_;
+  if (era_) ++*era_;
 }
 
 void store_standin::CutWatches() {
@@ -110,9 +110,9 @@
 
 void store_standin::Answer(evhttp_request* request, int status,
                            const std::string& body) {
-  if (era_ != 0) {
+  if (era_) {
     evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
-                      std::to_string(era_).c_str());
+                      std::to_string(*era_).c_str());
   }
   Reply(request, status, body);
 }
--- a/testing/store_standin/store.h
+++ b/testing/store_standin/store.h
@@ -52,7 +52,6 @@
   // All answers tell the era, which rises with each `Restore`. Without a call
   // of this, none does.
   void SetEra(std::uint64_t era) { era_ = era; }
-  std::uint64_t Era() const { return era_; }
   std::uint64_t Revision() const { return revision_; }
   // The value of a key; none: the store doesn't hold it.
   std::optional<std::string> Find(const std::string& key) const;
@@ -100,8 +99,8 @@
   store_mode mode_ = store_mode::kServing;
   std::size_t page_size_ = 500;
   std::uint64_t revision_ = 100;
-  std::uint64_t oldest_ = 100;  // Changes after this are held.
-  std::uint64_t era_ = 0;       // 0: answers don't tell.
+  std::uint64_t oldest_ = 100;        // Changes after this are held.
+  std::optional<std::uint64_t> era_;  // None: answers don't tell.
   int calls_ = 0;
   std::map<std::string, item> items_;
   std::optional<std::map<std::string, item>> lagging_;
--- a/testing/unit/mirror_fixture.h
+++ b/testing/unit/mirror_fixture.h
@@ -9,9 +9,9 @@
 #include <map>
 #include <string>
 
+#include "mirror_model/virtual_harness.h"
 #include "node/source_mirror.h"
 #include "platform/platform.h"
-#include "mirror_model/virtual_harness.h"
 
 namespace pimentohall::node {
 
--- a/testing/unit/platform_test.cc
+++ b/testing/unit/platform_test.cc
@@ -352,15 +352,18 @@
   f.store.SetEra(3);
   const auto copy = f.store.Copy();
   const std::uint64_t lost = f.store.Put("servers/b", "v");
-  CHECK(f.Read()->era == 3);
+  CHECK(f.Read()->era == 4);
   f.store.Restore(*copy);
   const auto page = f.Read();
   REQUIRE(page);
-  CHECK(page->era == 4);
+  CHECK(page->era == 5);
   CHECK(page->revision < lost);
   CHECK(page->items.size() == 1);
   CHECK(f.Watch(lost, {}).error() == node::source_problem::kHistoryGone);
-  CHECK(f.Watch(page->revision, {})->era == 4);
+  CHECK(f.Watch(page->revision, {})->era == 5);
+  // The first era may be 0, which isn't the same as none.
+  f.store.SetEra(0);
+  CHECK(f.Read()->era == 1);
   f.store.SetEra(mesh::kMaxSourceEra + 1);
   CHECK(f.Read().error() == node::source_problem::kMalformed);
 }
--- a/testing/unit/source_era_test.cc
+++ b/testing/unit/source_era_test.cc
@@ -382,6 +382,37 @@
   CHECK(daemon.in_force.count("servers/b") == 1);
 }
 
+// The same for what a peer holds that the source doesn't: the daemon's first
+// read may be stale, and the current list lacks both.
+TEST_CASE("a daemon that starts from a stale read takes over lost items") {
+  in_first_era peer({Entry("a", 12, 1)}, {Config(5, 11)});
+  peer.Event(kUpstreams, Entry("lost", 25, 1), 1);
+  peer.Event(kSettings, Evacuation(26), 1);
+  peer.Return({Entry("a", 12, 1)}, {Config(5, 11)}, 14, 2);
+  mirrored daemon;
+  daemon.source.AnswerRead(kSettings, Page({Config(5, 11)}, 14, 2));
+  daemon.source.AnswerRead(kUpstreams, Page({Entry("a", 12, 1)}, 14, 2));
+  for (const source_area area : kSourceAreas) {
+    CHECK(daemon.mirror.Import(peer.mirror.Export({area, export_form::kList,
+                                                   daemon.mirror.Position(area),
+                                                   true})) == result::kApplied);
+  }
+  CHECK(daemon.in_force.count("servers/lost") == 1);
+  CHECK(daemon.in_force.count("op/evacuate/z") == 1);
+  CHECK(daemon.mirror.IsIntroduced(kSettings));
+}
+
+// Guards against a daemon that drops all answers of the source for ever.
+TEST_CASE("a peer's message with an impossible era is refused") {
+  in_first_era daemon({Entry("a", 12, 1)});
+  mirror_message message;
+  message.area = kUpstreams;
+  message.is_full = true;
+  message.position = {mesh::kMaxSourceEra + 1, 30};
+  CHECK(daemon.mirror.Import(Encode(message)) == result::kRejected);
+  CHECK(daemon.mirror.Era() == 1);
+}
+
 // Guards against a reader that hears of the era first from a peer, while its
 // own watch still waits at the era before.
 TEST_CASE("a peer's copy of a new era ends the watch of the era before") {
