--- a/review/6/case-2.cc
+++ b/review/6/case-2.cc
@@ -3,12 +3,11 @@
 
 #include <cstdio>
 
-#include "mesh.h"
+#include "../standins-2/mesh.h"
 
+namespace bed {
 namespace {
 
-using namespace bed;
-
 // Seconds between the changes, both times.
 constexpr double kGapS = 4.0;
 constexpr double kAwayS = 1.0;
@@ -34,7 +33,8 @@
   // Lost with the store: two routes are added, then a key is withdrawn.
   const version lost[] = {
       {11, MeshConfiguration(11, kBothKeys, Further("extra"))},
-      {13, MeshConfiguration(13, kBothKeys, Further("extra") + Further("more"))},
+      {13,
+       MeshConfiguration(13, kBothKeys, Further("extra") + Further("more"))},
       {14, MeshConfiguration(14, kOneKey, Further("extra") + Further("more"))},
   };
   mesh.Store().TellEra(3);
@@ -129,7 +129,8 @@
 }
 
 }  // namespace
+}  // namespace bed
 
 int main(int argc, char** argv) {
-  return argc == 3 ? Run(argv[1], argv[2]) : kCouldNotRun;
+  return argc == 3 ? bed::Run(argv[1], argv[2]) : bed::kCouldNotRun;
 }
--- a/review/7/case-2.cc
+++ b/review/7/case-2.cc
@@ -4,12 +4,11 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "mesh.h"
+#include "../standins-2/mesh.h"
 
+namespace bed {
 namespace {
 
-using namespace bed;
-
 constexpr double kDownS = 4.5;
 // warmupPerS x warmupOvershoot + warmupSlack
 constexpr double kBound = kWarmupPerS * 1.5 + 5;
@@ -25,7 +24,9 @@
 
 int Run(const std::string& folder, const std::string& record) {
   deployment mesh({record, folder, MeshVms()});
-  if (!mesh.Start(MeshConfiguration(7, "\"key-1\"", kPeekRoute))) return kCouldNotRun;
+  if (!mesh.Start(MeshConfiguration(7, "\"key-1\"", kPeekRoute))) {
+    return kCouldNotRun;
+  }
   // The traffic for `ledger` on the site's day scale-1: dues postings, and the
   // lookups that balance checks make (116 a second, 7 of 10 with 2 lookups
   // each).
@@ -74,7 +75,9 @@
   std::map<std::string, seconds> sent;
   for (const auto& each : mesh.Attempts()) sent[each->id] = each->sent;
   bool broken = false;
-  for (const auto& [vm, at] : colds) {
+  for (const auto& cold : colds) {
+    const int vm = cold.first;
+    const seconds at = cold.second;
     std::vector<seconds> times;
     for (const auto& each : mesh.Arrivals()) {
       if (each->vm == vm && each->at >= at && each->at <= at + kWarmupS) {
@@ -87,8 +90,8 @@
       for (seconds from = first; from + 1 <= at + kWarmupS; from += 0.05) {
         int count = 0;
         for (const auto& each : mesh.Arrivals()) {
-          count += each->vm == vm && each->at < from + 1 &&
-                   sent[each->id] >= from;
+          count +=
+              each->vm == vm && each->at < from + 1 && sent[each->id] >= from;
         }
         if (count <= most) continue;
         most = count;
@@ -116,7 +119,8 @@
 }
 
 }  // namespace
+}  // namespace bed
 
 int main(int argc, char** argv) {
-  return argc == 3 ? Run(argv[1], argv[2]) : kCouldNotRun;
+  return argc == 3 ? bed::Run(argv[1], argv[2]) : bed::kCouldNotRun;
 }
--- a/review/9/case-2.cc
+++ b/review/9/case-2.cc
@@ -3,15 +3,14 @@
 
 #include <cstdio>
 
-#include "mesh.h"
+#include "../standins-2/mesh.h"
 
+namespace bed {
 namespace {
 
-using namespace bed;
-
 constexpr double kResendS = 2.0;
-constexpr double kDownS = 3.0;   // A crashed target is back after that.
-constexpr double kGapS = 16.0;   // Between two stops.
+constexpr double kDownS = 3.0;        // A crashed target is back after that.
+constexpr double kGapS = 16.0;        // Between two stops.
 constexpr int kRolled[] = {3, 4, 5};  // The machines beside `ledger`.
 constexpr char kPoisonPath[] = "/dues/poison";
 constexpr int kMostRetries = 3;
@@ -30,26 +29,26 @@
   std::set<std::string> calm_arrivals;  // At machines in touch.
   for (int i = 0; i < mesh.Count(); ++i) {
     mesh.At(i).app->work = [](const message&) { return 0.16; };
-    mesh.At(i).app->intercept =
-        [&mesh, &crashes, &calm_arrivals, i](
-            target& app, const std::shared_ptr<http_connection>&,
-            const message& what, arrival& seen) {
-          if (what.Target() != kPoisonPath) return false;
-          seen.ran = true;
-          if (mesh.IsInTouch(i)) calm_arrivals.insert(seen.id);
-          crashes.emplace_back(seen.id, mesh.Now());
-          mesh.Record().Write(
-              "the poison %s reaches target %s, with %d others at work; its "
-              "daemon on %s is %s",
-              seen.id.c_str(), app.Id().c_str(), app.Running(),
-              mesh.At(i).name.c_str(),
-              mesh.IsInTouch(i) ? "in touch" : "not in touch");
-          // It ends a moment after it has begun to run the request.
-          mesh.Loop().After(0.02, [&app] {
-            if (app.IsUp()) app.Crash(kDownS, kWarmupS);
-          });
-          return true;
-        };
+    mesh.At(i).app->intercept = [&mesh, &crashes, &calm_arrivals, i](
+                                    target& app,
+                                    const std::shared_ptr<http_connection>&,
+                                    const message& what, arrival& seen) {
+      if (what.Target() != kPoisonPath) return false;
+      seen.ran = true;
+      if (mesh.IsInTouch(i)) calm_arrivals.insert(seen.id);
+      crashes.emplace_back(seen.id, mesh.Now());
+      mesh.Record().Write(
+          "the poison %s reaches target %s, with %d others at work; its "
+          "daemon on %s is %s",
+          seen.id.c_str(), app.Id().c_str(), app.Running(),
+          mesh.At(i).name.c_str(),
+          mesh.IsInTouch(i) ? "in touch" : "not in touch");
+      // It ends a moment after it has begun to run the request.
+      mesh.Loop().After(0.02, [&app] {
+        if (app.IsUp()) app.Crash(kDownS, kWarmupS);
+      });
+      return true;
+    };
   }
   const seconds begin = mesh.Now();
   const seconds roll_at = begin + 14;
@@ -91,8 +90,8 @@
     if (at <= bound_from) continue;
     all_reached.insert(id);
     for (const resend& each : resends) {
-      if (each.sent->id == id && each.from_calm && calm_arrivals.count(id) != 0 &&
-          each.sent->sent > bound_from) {
+      if (each.sent->id == id && each.from_calm &&
+          calm_arrivals.count(id) != 0 && each.sent->sent > bound_from) {
         reached.insert(id);
       }
     }
@@ -114,7 +113,8 @@
 }
 
 }  // namespace
+}  // namespace bed
 
 int main(int argc, char** argv) {
-  return argc == 3 ? Run(argv[1], argv[2]) : kCouldNotRun;
+  return argc == 3 ? bed::Run(argv[1], argv[2]) : bed::kCouldNotRun;
 }
--- a/review/standins-2/bed.cc
+++ b/review/standins-2/bed.cc
@@ -138,7 +138,7 @@
   timers_[{when, ++next_timer_}] = std::move(task);
 }
 
-void loop::Every(seconds period, std::function<void()> task) {
+void loop::Every(seconds period, const std::function<void()>& task) {
   After(period, [this, period, task] {
     task();
     Every(period, task);
@@ -210,12 +210,12 @@
   return std::atoi(first_line.substr(first_line.find(' ') + 1).c_str());
 }
 
-std::string Answer(int status,
-                   const std::vector<std::pair<std::string, std::string>>& extra,
-                   const std::string& body) {
+std::string Answer(
+    int status, const std::vector<std::pair<std::string, std::string>>& extra,
+    const std::string& body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
   for (const auto& [name, value] : extra) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   return text + body;
@@ -331,9 +331,9 @@
     const std::size_t colon = line.find(':');
     if (colon == std::string::npos) continue;
     const std::size_t value = line.find_first_not_of(' ', colon + 1);
-    read.headers.emplace_back(
-        line.substr(0, colon),
-        value == std::string::npos ? "" : line.substr(value));
+    read.headers.emplace_back(line.substr(0, colon), value == std::string::npos
+                                                         ? ""
+                                                         : line.substr(value));
   }
   std::size_t next = end + 4;
   const std::string length = read.Header("Content-Length");
@@ -382,8 +382,7 @@
 
 void http_server::Accept() {
   while (fd_ >= 0) {
-    const int fd =
-        accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
     auto conn = std::make_shared<http_connection>(loop_, fd, true);
     const std::weak_ptr<http_connection> weak = conn;
@@ -554,15 +553,16 @@
     }
     if (!list.empty()) list += ",";
     list += each.removed
-                ? "{\"key\":\"" + each.key + "\",\"revision\":" +
-                      std::to_string(each.revision) + ",\"removed\":true}"
+                ? "{\"key\":\"" + each.key +
+                      "\",\"revision\":" + std::to_string(each.revision) +
+                      ",\"removed\":true}"
                 : ItemText(each.key, each.what.value, each.revision,
                            each.what.created);
   }
   if (list.empty() && !time_over) return false;
-  Reply(which.conn, 200,
-        "{\"events\":[" + list + "],\"asOf\":" + std::to_string(revision_) +
-            "}");
+  Reply(
+      which.conn, 200,
+      "{\"events\":[" + list + "],\"asOf\":" + std::to_string(revision_) + "}");
   return true;
 }
 
@@ -636,10 +636,9 @@
   queue_.clear();
   running_ = 0;
   // Its entry is removed after three status report intervals of silence.
-  deployment_.Loop().After(3 * deployment_.Options().heartbeat_s,
-                           [this, id = id_] {
-                             deployment_.Store().Remove("servers/" + id);
-                           });
+  deployment_.Loop().After(
+      3 * deployment_.Options().heartbeat_s,
+      [this, id = id_] { deployment_.Store().Remove("servers/" + id); });
   deployment_.Loop().After(down, [this, cold_for] { Start(cold_for); });
 }
 
@@ -713,8 +712,8 @@
   } else if (static_cast<int>(queue_.size()) < deployment_.Options().queue) {
     queue_.push_back(next);
   } else {
-    conn->Send(Answer(
-        503, {{"X-Attempt-Id", seen->id}, {"X-Not-Executed", "1"}}, ""));
+    conn->Send(
+        Answer(503, {{"X-Attempt-Id", seen->id}, {"X-Not-Executed", "1"}}, ""));
   }
 }
 
@@ -723,8 +722,8 @@
   next.seen->ran = true;
   seconds time = work ? work(next.what) : 0.1;
   if (WarmupLeft() > 0) time *= 2;
-  deployment_.Loop().After(
-      time, [this, next, boot = boot_] { Finish(next, boot); });
+  deployment_.Loop().After(time,
+                           [this, next, boot = boot_] { Finish(next, boot); });
 }
 
 void target::Finish(const waiting& done, std::uint64_t boot) {
@@ -776,7 +775,8 @@
            std::to_string(Random()() % 250) + ".";
     port_ = 20000 + static_cast<int>(Random()() % 10000);
     bool free = true;
-    for (int vm = 0; vm <= static_cast<int>(options_.vms.size()) && free; ++vm) {
+    for (int vm = 0; vm <= static_cast<int>(options_.vms.size()) && free;
+         ++vm) {
       const std::string address = net_ + std::to_string(1 + vm);
       for (const int port :
            {port_, port_ + 1, port_ + 2, port_ + 3, port_ + 4, 7015}) {
@@ -799,8 +799,8 @@
   for (const auto& [zone, app] : options_.vms) zones.insert(zone);
   std::string zone_list;
   for (const std::string& zone : zones) {
-    zone_list += (zone_list.empty() ? "" : ",") + ("\"" + zone) +
-                 "\":\"region\"";
+    zone_list +=
+        (zone_list.empty() ? "" : ",") + ("\"" + zone) + "\":\"region\"";
   }
   const auto address = [&which](int port) {
     return "\"" + which.address + ":" + std::to_string(port) + "\"";
@@ -920,7 +920,8 @@
   if (ready_.count(index) != 0) return true;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in peer = Address(At(index).address, port_ + 2);
-  connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
+  // It goes on in the background; a failure shows on the connection.
+  (void)connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
   auto conn = std::make_shared<http_connection>(loop_, fd, false);
   conn->on_message = [this, index, conn](const message& answer) {
     if (answer.Status() == 200) ready_.insert(index);
@@ -936,7 +937,7 @@
 }
 
 std::shared_ptr<attempt> deployment::Send(int index, const request& what,
-                                          std::function<void()> done) {
+                                          const std::function<void()>& done) {
   auto sent = std::make_shared<attempt>();
   sent->id = Hex(Random()(), 16);
   ++next_id_;
@@ -946,7 +947,8 @@
   attempts_.push_back(sent);
   const int fd = Bound(At(index).address, 0, SOCK_STREAM);
   const sockaddr_in peer = Address(At(index).address, port_);
-  connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
+  // It goes on in the background; a failure shows on the connection.
+  (void)connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
   auto conn = std::make_shared<http_connection>(loop_, fd, false);
   conn->on_message = [this, sent, conn, done](const message& answer) {
     sent->ended = Now();
@@ -962,10 +964,10 @@
     if (done) done();
   };
   conn->Start();
-  std::string text = what.method + " " + what.path + " HTTP/1.1\r\nHost: " +
-                     what.host + "\r\nX-Attempt-Id: " + sent->id +
-                     "\r\nX-Deadline-Ms: " + std::to_string(what.deadline_ms) +
-                     "\r\n";
+  std::string text =
+      what.method + " " + what.path + " HTTP/1.1\r\nHost: " + what.host +
+      "\r\nX-Attempt-Id: " + sent->id +
+      "\r\nX-Deadline-Ms: " + std::to_string(what.deadline_ms) + "\r\n";
   if (!what.key.empty()) text += "Authorization: Token " + what.key + "\r\n";
   if (!what.body.empty()) {
     text += "Content-Length: " + std::to_string(what.body.size()) + "\r\n";
--- a/review/standins-2/bed.h
+++ b/review/standins-2/bed.h
@@ -41,7 +41,7 @@
     At(Now() + delay, std::move(task));
   }
   // Calls `task` after each `period` until the loop ends.
-  void Every(seconds period, std::function<void()> task);
+  void Every(seconds period, const std::function<void()>& task);
   void Watch(int fd, bool read, bool write,
              std::function<void(std::uint32_t)> handler);
   void Change(int fd, bool read, bool write);
@@ -123,9 +123,9 @@
   std::set<std::shared_ptr<http_connection>> connections_;
 };
 
-std::string Answer(int status,
-                   const std::vector<std::pair<std::string, std::string>>& extra,
-                   const std::string& body);
+std::string Answer(
+    int status, const std::vector<std::pair<std::string, std::string>>& extra,
+    const std::string& body);
 
 class recorder {
  public:
@@ -310,7 +310,7 @@
   // all daemons are ready. False: it couldn't.
   bool Start(const std::string& configuration);
   std::shared_ptr<attempt> Send(int vm, const request& what,
-                                std::function<void()> done = {});
+                                const std::function<void()>& done = {});
   // SIGTERM, then SIGKILL after the grace time; started again 0.3 s after its
   // end.
   void RestartDaemon(int vm);
--- a/review/standins-2/mesh.h
+++ b/review/standins-2/mesh.h
@@ -30,8 +30,8 @@
                              const std::string& kind, int timeout_ms,
                              int aim_ms, int priority,
                              const std::string& service) {
-  return "{\"name\":\"" + name + "\",\"host\":\"" + host +
-         "\",\"prefix\":\"/" + name + "/\",\"kind\":\"" + kind +
+  return "{\"name\":\"" + name + "\",\"host\":\"" + host + "\",\"prefix\":\"/" +
+         name + "/\",\"kind\":\"" + kind +
          "\",\"timeoutMs\":" + std::to_string(timeout_ms) +
          ",\"aimMs\":" + std::to_string(aim_ms) +
          ",\"priority\":" + std::to_string(priority) + ",\"service\":\"" +
