Keep what operators wrote in force until they write again

Cause: what is newer than the copy was carried for a time: a configuration 6.5 s beside a lower version written since, 30 s beside the copy's; a lost evacuation 10 s; a lost take-back 2 s. Nothing bounds how long operators take. A starting daemon asked for lost changes in its first 6.5 s only, also of a peer that knew nothing itself.

Change: no time ends what operators wrote (`kUntilWritten`). A configuration ends with a version as high, an evacuation when it is made again and undone, a take-back when the evacuation is gone or is a new one. A lower version isn't taken within an era either, as several are written in order. Carried changes have a place in the source's history, so that a removal seen by one daemon ends what another carries.

--- a/src/node/carry_rules.cc
+++ b/src/node/carry_rules.cc
@@ -23,20 +23,22 @@
 
 std::optional<duration> CarryConfiguration(
     const conflict& in, const mesh::configuration_parts& held) {
-  if (in.offered == nullptr) return kOperatorRewriteTime;
+  // Versions only increase: a lower one that is written now is one of several
+  // that the operators write again in order.
   const auto offered = in.Offered<mesh::configuration_parts>();
-  if (!offered || offered->version >= held.version) return std::nullopt;
-  // A lower version that was written now may be one of several that the
-  // operators write again in order.
-  return in.origin == offer_origin::kWritten ? kRewriteTime
-                                             : kOperatorRewriteTime;
+  const bool is_later = offered && offered->version >= held.version;
+  return is_later ? std::nullopt : std::optional<duration>(kUntilWritten);
 }
 
 std::optional<duration> CarryEvacuation(const conflict& in) {
   if (in.origin != offer_origin::kCopy) return std::nullopt;
-  if (in.offered == nullptr) return kEvacuationRewriteTime;
-  // It may also be a new evacuation, which must not wait for long.
-  return in.held.removed ? std::optional<duration>(kRestoreTime) : std::nullopt;
+  if (in.offered == nullptr) return kUntilWritten;
+  // The copy may also show an evacuation that was written after the source's
+  // return. Unlike the one that was taken back, it has a revision of its own.
+  const bool was_taken_back = in.held.removed &&
+                              in.held.revision == in.offered->revision &&
+                              in.held.value == in.offered->value;
+  return was_taken_back ? std::optional<duration>(kUntilWritten) : std::nullopt;
 }
 
 auto ReportOrder(const mesh::upstream& entry) {
--- a/src/node/carry_rules.h
+++ b/src/node/carry_rules.h
@@ -10,8 +10,9 @@
 // bring back a withdrawn key or an upstream that is leaving. What is older is
 // decided by the writer's own count (the configuration's version, the start and
 // the reports of an upstream), never by the source's revisions, which are given
-// out twice. No change is carried for ever, as its writer may have changed its
-// mind (decision 008).
+// out twice. Upstreams write again within times that the platform specifies.
+// Operators take as long as they like, so their changes end only when the
+// source shows a later one (decision 008).
 
 #include <optional>
 
@@ -28,11 +29,9 @@
 // Upstreams that are silent have lost their entries: three of their report
 // intervals of 1.5 s, and the time that the entries take to be back.
 inline constexpr duration kRewriteTime = std::chrono::milliseconds(6500);
-// Operators have evacuated a zone again, or don't want it any more. A zone that
-// stays out without need costs its capacity, so this is short.
-inline constexpr duration kEvacuationRewriteTime = std::chrono::seconds(10);
-// Operators have written their configuration again, or don't want it any more.
-inline constexpr duration kOperatorRewriteTime = std::chrono::seconds(30);
+
+// No time ends it, only a later change of the same key.
+inline constexpr duration kUntilWritten = duration::max();
 
 // What is known of an item that the source offers in a new era.
 enum class offer_origin {
@@ -50,6 +49,11 @@
                                   const source_item* offered,
                                   offer_origin origin);
 
+// The end of a change that is carried for `time` from `began` on.
+inline instant CarryEnd(instant began, duration time) {
+  return time == kUntilWritten ? instant::max() : began + time;
+}
+
 }  // namespace pimentohall::node
 
 #endif  // PIMENTOHALL_NODE_CARRY_RULES_H_
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -112,6 +112,15 @@
     gate.OnReport(service, load.upstream, load.rank_limit, loop.Now());
   }
 
+  // Started clearly before this daemon. Those that start together, such as the
+  // whole fleet, aren't ordered.
+  bool IsElder(const mesh::peer_table::peer& peer, instant now) const {
+    constexpr duration kClearly = std::chrono::seconds(1);
+    const duration uptime =
+        std::chrono::milliseconds(peer.uptime_ms) + (now - peer.heard_at);
+    return uptime > now - started_at + kClearly;
+  }
+
   // The availability zone of the VM with this address; empty: not known.
   std::string ZoneOf(const std::string& address) const {
     const auto found = zone_of_address.find(address);
--- a/src/node/mirror_message.cc
+++ b/src/node/mirror_message.cc
@@ -1,20 +1,26 @@
 // A message is an array: the area, whether the items are all of the area's, the
 // area's revision and its change revision, the items, the removals, the time
 // within which expired items may be restored, and the digest of all items; with
-// an era also the era and the carried changes.
+// an era also the era, the carried changes, and whether the sender knows of all
+// of these.
 //
 // An item is an array of key, value and revision. A packed value is followed by
 // the revision that it is a patch of, 0 for none. An item that the receiver
 // holds is an array of key, revision and, with an era, its hash. A carried
 // change is an array of key, packed value, revision, the milliseconds that it
-// has left, and whether it is a removal; the value then is the last one.
+// has left, whether it is a removal (the value then is the last one), and its
+// place in the source's history (era and revision).
 
 #include "node/mirror_message.h"
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "node/carry_rules.h"
+
 namespace pimentohall::node {
 namespace {
 
@@ -23,6 +29,10 @@
 using item_form = mirror_message::item::form;
 
 constexpr std::size_t kFieldsWithoutEra = 8;
+constexpr std::size_t kFieldsOfEarlierVersions = 10;
+constexpr std::size_t kCarriedFieldsOfEarlierVersions = 5;
+// The time left of a carried change that no time ends.
+constexpr std::uint32_t kEndlessMs = std::numeric_limits<std::uint32_t>::max();
 
 json Binary(const std::string& bytes) {
   return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
@@ -68,10 +78,12 @@
 
 json EncodeCarried(const mirror_message::carried& carried) {
   const source_item& item = carried.item;
-  return json::array(
-      {item.key, Binary(mesh::Pack(item.value, {})), item.revision,
-       std::chrono::duration_cast<milliseconds>(carried.remaining).count(),
-       item.removed});
+  const std::int64_t remaining_ms = std::min<std::int64_t>(
+      std::chrono::duration_cast<milliseconds>(carried.remaining).count(),
+      kEndlessMs);
+  return json::array({item.key, Binary(mesh::Pack(item.value, {})),
+                      item.revision, remaining_ms, item.removed,
+                      carried.made.era, carried.made.revision});
 }
 
 tl::expected<mirror_message::carried, std::string> DecodeCarried(
@@ -82,8 +94,15 @@
   if (!value) return tl::unexpected(value.error());
   carried.item.value = std::move(*value);
   carried.item.revision = encoded.at(2).get<std::uint64_t>();
-  carried.remaining = milliseconds(encoded.at(3).get<std::uint32_t>());
+  const auto remaining_ms = encoded.at(3).get<std::uint32_t>();
+  carried.remaining = remaining_ms == kEndlessMs
+                          ? kUntilWritten
+                          : duration(milliseconds(remaining_ms));
   carried.item.removed = encoded.at(4).get<bool>();
+  if (encoded.size() > kCarriedFieldsOfEarlierVersions) {
+    carried.made = {encoded.at(5).get<std::uint64_t>(),
+                    encoded.at(6).get<std::uint64_t>()};
+  }
   return carried;
 }
 
@@ -117,6 +136,9 @@
     if (!carried) return tl::unexpected(carried.error());
     message.carried_changes.push_back(std::move(*carried));
   }
+  if (fields.size() > kFieldsOfEarlierVersions) {
+    message.knows_past = fields.at(kFieldsOfEarlierVersions).get<bool>();
+  }
   return message;
 }
 
@@ -144,6 +166,7 @@
     }
     fields.push_back(message.position.era);
     fields.push_back(std::move(carried));
+    fields.push_back(message.knows_past);
   }
   std::string bytes;
   json::to_cbor(fields, bytes);
--- a/src/node/mirror_message.h
+++ b/src/node/mirror_message.h
@@ -41,7 +41,9 @@
   // holds.
   struct carried {
     source_item item;
-    duration remaining{0};
+    duration remaining{0};  // May be `kUntilWritten`.
+    // Its place in the source's history; zero: not known.
+    mesh::source_position made;
   };
 
   source_area area = source_area::kSettings;
@@ -51,8 +53,12 @@
   std::vector<item> items;
   std::vector<removal> removals;
   duration expiry_grace{0};
-  std::optional<std::uint64_t> digest;   // Daemons of earlier versions: none.
-  std::vector<carried> carried_changes;  // Sent in full messages with an era.
+  std::optional<std::uint64_t> digest;  // Daemons of earlier versions: none.
+  // The rest is sent in full messages with an era.
+  std::vector<carried> carried_changes;
+  // These are all that the sender's fleet knows of; see
+  // `source_mirror::KnowsPast`. Daemons of earlier versions always claim so.
+  bool knows_past = true;
 };
 
 // A CBOR array. The era and the carried changes come last, so that a message
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -193,8 +193,11 @@
     const source_item& item = change.item;
     const std::uint64_t current_version =
         fleet_.config ? fleet_.config->Version() : 0;
-    // The mirror has decided that a lower version is what the operators want.
-    if (parts.version <= current_version && !change.ends_carried) {
+    // The source's own value of a version replaces one that was carried.
+    const bool is_newer =
+        parts.version > current_version ||
+        (parts.version == current_version && change.ends_carried);
+    if (!is_newer) {
       net::Log(core::log_level::kWarning, "older configuration ignored",
                {{"version", std::to_string(parts.version)},
                 {"in_force", std::to_string(current_version)},
--- a/src/node/peer_follower.cc
+++ b/src/node/peer_follower.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "node/carry_rules.h"
-
 namespace pimentohall::node {
 namespace {
 
@@ -26,9 +24,9 @@
 
 constexpr char kPath[] = "/pimentohall/mirror?";
 
-// A daemon takes carried changes over from a peer within this time of its
-// start; later it knows them itself.
-constexpr duration kIntroductionTime = kRewriteTime;
+// Between two requests for what the source has lost. The list of a large fleet
+// takes some hundred kilobytes.
+constexpr duration kIntroductionRetryDelay = milliseconds(300);
 
 // The queries of `kPath`. The position that the asking daemon holds follows, as
 // "era.revision". Daemons of earlier versions, and those whose source has no
@@ -138,14 +136,14 @@
   }
 }
 
-std::string peer_follower::FindPeer(source_area area, instant now,
-                                    const peer_filter& passes) const {
+std::string peer_follower::FindPeer(instant now, const peer_filter& passes,
+                                    bool prefers_near) const {
   std::vector<std::string> near;
   std::vector<std::string> far;
   for (const auto& [address, peer] : fleet_.peers.Peers()) {
-    if (!fleet_.peers.IsHeard(address, now)) continue;
-    if (!passes(ReportedPosition(peer, area))) continue;
-    const bool is_near = fleet_.ZoneOf(address) == fleet_.settings.zone;
+    if (!fleet_.peers.IsHeard(address, now) || !passes(peer)) continue;
+    const bool is_near =
+        prefers_near && fleet_.ZoneOf(address) == fleet_.settings.zone;
     (is_near ? near : far).push_back(address);
   }
   const std::vector<std::string>& found = near.empty() ? far : near;
@@ -154,22 +152,44 @@
 
 std::string peer_follower::FindPeerAhead(source_area area, instant now) const {
   const mesh::source_position own = mirror_.Position(area);
-  std::string peer = FindPeer(
-      area, now,
-      [&own](const mesh::source_position& position) { return position > own; });
-  const bool is_new = now - fleet_.started_at < kIntroductionTime;
-  if (!peer.empty() || !is_new || mirror_.IsIntroduced(area)) return peer;
-  return FindPeer(area, now, [this](const mesh::source_position& position) {
-    return position.era == mirror_.Era();
+  return FindPeer(now, [area, &own](const mesh::peer_table::peer& peer) {
+    return ReportedPosition(peer, area) > own;
   });
 }
 
+bool peer_follower::AskForLostChanges(source_area area, area_progress* progress,
+                                      instant now) {
+  if (mirror_.IsIntroduced(area) || now < progress->introduction_due) {
+    return false;
+  }
+  const auto is_in_era = [this, area](const mesh::peer_table::peer& peer) {
+    const std::uint64_t era = ReportedPosition(peer, area).era;
+    return era != 0 && era >= mirror_.Era();
+  };
+  // Daemons that started earlier know more.
+  const bool prefers_near = progress->failures == 0;
+  std::string peer = FindPeer(
+      now,
+      [this, now, &is_in_era](const mesh::peer_table::peer& each) {
+        return is_in_era(each) && fleet_.IsElder(each, now);
+      },
+      prefers_near);
+  if (peer.empty() && mirror_.KnowsPast(area)) {
+    peer = FindPeer(now, is_in_era, prefers_near);
+  }
+  if (peer.empty()) return false;
+  progress->introduction_due = now + kIntroductionRetryDelay;
+  Fetch(area, progress, peer);
+  return true;
+}
+
 void peer_follower::ReadForUnknownEra(source_area area, area_progress* progress,
                                       instant now) {
   const mesh::source_position own = mirror_.Position(area);
   if (own.era == 0 || !mirror_.CanRead(area)) return;
   std::uint64_t newest = 0;
-  FindPeer(area, now, [&newest](const mesh::source_position& position) {
+  FindPeer(now, [area, &newest](const mesh::peer_table::peer& peer) {
+    const mesh::source_position& position = ReportedPosition(peer, area);
     if (position.era == 0) newest = std::max(newest, position.revision);
     return false;
   });
@@ -181,6 +201,7 @@
                             instant now) {
   if (progress->fetching) return;
   ReadForUnknownEra(area, progress, now);
+  if (AskForLostChanges(area, progress, now)) return;
   const std::string ahead = FindPeerAhead(area, now);
   if (ahead.empty()) {
     progress->behind_since.reset();
@@ -195,13 +216,6 @@
     return;
   }
   const bool peers_fail = progress->failures >= kMaxPeerFailures;
-  const auto* const reported = fleet_.peers.Find(ahead);
-  if (reported != nullptr &&
-      ReportedPosition(*reported, area) <= mirror_.Position(area)) {
-    // Only what the source has lost is missing, which no read of it brings.
-    if (!peers_fail) Fetch(area, progress, ahead);
-    return;
-  }
   if ((progress->needs_whole || peers_fail) && mirror_.CanRead(area)) {
     mirror_.RequestRead(area);
     return;
--- a/src/node/peer_follower.h
+++ b/src/node/peer_follower.h
@@ -68,6 +68,8 @@
     // The changes were applied, and this daemon's items still weren't the
     // peer's, so the list of all items is needed.
     bool needs_list = false;
+    // Earliest time of the next request for what the source has lost.
+    instant introduction_due{};
     // Newest revision reported without an era for which the source was read.
     std::uint64_t read_for_revision = 0;
   };
@@ -80,11 +82,15 @@
   // An area's items with large values whole; empty if a large answer may not be
   // sent yet.
   std::string AnswerWhole(const source_mirror::export_query& query);
-  using peer_filter = std::function<bool(const mesh::source_position&)>;
-  // The address of a heard peer, in the own zone if possible, whose position in
-  // this area passes; empty: none.
-  std::string FindPeer(source_area area, instant now,
-                       const peer_filter& passes) const;
+  using peer_filter = std::function<bool(const mesh::peer_table::peer&)>;
+  // The address of a heard peer that passes; empty: none. `prefers_near`: in
+  // the own zone if possible.
+  std::string FindPeer(instant now, const peer_filter& passes,
+                       bool prefers_near = true) const;
+  // Asks a peer for the changes that the source has lost, once an era, until
+  // one answers that knows them. True if it does.
+  bool AskForLostChanges(source_area area, area_progress* progress,
+                         instant now);
   // The peer whose items are to be fetched; empty: none.
   std::string FindPeerAhead(source_area area, instant now) const;
   // Reads the source where a peer is ahead that tells no era, so that its items
--- a/src/node/source_exchange.cc
+++ b/src/node/source_exchange.cc
@@ -139,8 +139,23 @@
   if (query.knows_eras && is_full) {
     for (const auto& [key, carried] : state.carried) {
       if (carried.until <= now || carried.is_inferred) continue;
-      message.carried_changes.push_back({carried.item, carried.until - now});
+      const bool ends = carried.until != instant::max();
+      message.carried_changes.push_back(
+          {carried.item, ends ? carried.until - now : kUntilWritten,
+           carried.made});
     }
+    // The peer may carry what was undone in an earlier era. Upstreams that left
+    // then are many, and their entries end in time.
+    for (const auto& [key, removed] : state.removals) {
+      if (query.area != source_area::kSettings || state.items.count(key) != 0 ||
+          removed.position.era == state.position.era ||
+          removed.position.revision == 0) {
+        continue;
+      }
+      message.carried_changes.push_back(
+          {Tombstone(key, removed), kUntilWritten, removed.position});
+    }
+    message.knows_past = KnowsPast(query.area);
   }
   if (!query.knows_eras) {
     // The digest that daemons of earlier versions compute.
@@ -245,7 +260,8 @@
 }
 
 std::optional<duration> source_mirror::CarryTimeOfPeer(
-    const area_state& state, const source_item& item) const {
+    const area_state& state, const mirror_message::carried& change) const {
+  const source_item& item = change.item;
   if (state.carried.count(item.key) != 0) return std::nullopt;
   // The peer doesn't know which start of an upstream was removed.
   if (item.removed && item.value.empty()) return std::nullopt;
@@ -261,9 +277,11 @@
     if (removed->second.position.era == state.position.era) return std::nullopt;
     // This daemon knows of a removal that the peer doesn't.
     const bool is_later =
-        CarryTime(decoder_, Tombstone(item.key, removed->second), &item,
-                  offer_origin::kCopy)
-            .has_value();
+        state.area == source_area::kSettings
+            ? change.made < removed->second.position
+            : CarryTime(decoder_, Tombstone(item.key, removed->second), &item,
+                        offer_origin::kCopy)
+                  .has_value();
     if (is_later) return std::nullopt;
   }
   const bool is_written =
@@ -272,19 +290,54 @@
                    is_written ? offer_origin::kWritten : offer_origin::kCopy);
 }
 
+bool source_mirror::EndUndone(area_state* state,
+                              const mirror_message::carried& change) {
+  const std::string& key = change.item.key;
+  const auto carried = state->carried.find(key);
+  if (carried == state->carried.end() || carried->second.item.removed ||
+      !change.item.removed || state->items.count(key) != 0 ||
+      change.made <= carried->second.made) {
+    return false;
+  }
+  const source_item undone = std::move(carried->second.item);
+  state->carried.erase(carried);
+  state->removals[key] = {change.made, undone};
+  Report(state, key, &undone, true);
+  return true;
+}
+
+void source_mirror::RecordUndone(area_state* state,
+                                 const mirror_message::carried& change) {
+  const std::string& key = change.item.key;
+  const bool is_new = change.item.removed && change.made.era != 0 &&
+                      change.made.era != state->position.era &&
+                      state->items.count(key) == 0 &&
+                      state->carried.count(key) == 0;
+  if (!is_new) return;
+  removal& recorded = state->removals[key];
+  if (recorded.position < change.made) recorded = {change.made, change.item};
+}
+
 void source_mirror::AdoptCarried(area_state* state,
                                  const mirror_message& message) {
   const instant now = fleet_.loop.Now();
   bool changed = false;
   for (const mirror_message::carried& each : message.carried_changes) {
     const std::string& key = each.item.key;
-    const auto time = CarryTimeOfPeer(*state, each.item);
+    if (EndUndone(state, each)) {
+      changed = true;
+      continue;
+    }
+    RecordUndone(state, each);
+    const auto time = CarryTimeOfPeer(*state, each);
     if (!time) continue;
     std::optional<source_item> before;
     const auto held = state->items.find(key);
     if (held != state->items.end()) before = held->second;
-    state->carried[key] = {each.item, now + std::min(*time, each.remaining),
-                           false};
+    // A daemon of an earlier version ends all changes in time.
+    const duration left =
+        *time == kUntilWritten ? *time : std::min(*time, each.remaining);
+    state->carried[key] = {each.item, CarryEnd(now, left), false, each.made};
     Report(state, key, before ? &*before : nullptr, false);
     changed = true;
   }
@@ -297,8 +350,21 @@
       message.position.era != state->position.era) {
     return;
   }
-  state->introduced_era = message.position.era;
+  if (message.knows_past) {
+    state->introduced_era = message.position.era;
+    state->knows_past = true;
+  }
   AdoptCarried(state, message);
+  // Its writer has undone it in this era, which left no other trace.
+  bool changed = false;
+  for (const mirror_message::removal& each : message.removals) {
+    const bool undoes = state->carried.count(each.key) != 0 &&
+                        state->items.count(each.key) == 0;
+    if (!undoes) continue;
+    Remove(state, each.key, each.revision, message.expiry_grace);
+    changed = true;
+  }
+  if (changed && on_changes_applied) on_changes_applied(state->area);
 }
 
 }  // namespace pimentohall::node
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -119,6 +119,17 @@
 // ---------------------------------------------------------------------------
 // The role.
 
+bool source_mirror::KnowsPast(source_area area) const {
+  const instant now = fleet_.loop.Now();
+  if (At(area).knows_past) return true;
+  if (now - fleet_.started_at < kRoleDelay) return false;
+  const auto& peers = fleet_.peers.Peers();
+  return std::none_of(peers.begin(), peers.end(), [&](const auto& each) {
+    return fleet_.peers.IsHeard(each.first, now) &&
+           fleet_.IsElder(each.second, now);
+  });
+}
+
 bool source_mirror::IsReading() const {
   const instant now = fleet_.loop.Now();
   return std::all_of(
@@ -172,7 +183,10 @@
   } else if (!fed_since_) {
     fed_since_ = now;
   }
-  for (area_state& state : areas_) EndCarried(&state);
+  for (area_state& state : areas_) {
+    EndCarried(&state);
+    state.knows_past = KnowsPast(state.area);
+  }
   if (fleet_.peers.CountReadersBefore(now) >= kReaderCount) {
     few_readers_since_.reset();
   } else if (!few_readers_since_) {
@@ -293,6 +307,9 @@
   std::uint64_t change_revision = 0;
   if (!may_be_stale && (!state->complete || position > state->position)) {
     change_revision = position.revision;
+    // They may also hide that a carried change was made again and undone, which
+    // a peer may have seen.
+    if (!state->carried.empty()) state->introduced_era = 0;
   }
   Replace(state, std::exchange(state->read_items, {}), position,
           change_revision, ExpiryGrace(*state));
@@ -489,6 +506,11 @@
   state->change_revision = std::max(state->change_revision, held.revision);
   const auto carried = state->carried.find(held.key);
   if (carried == state->carried.end()) {
+    if (is_held && IsOutOfOrder(*state, before, held)) {
+      state->carried[held.key] = {
+          before, instant::max(), false, {position.era, before.revision}};
+      return false;
+    }
     Report(state, held.key, is_held ? &before : nullptr, false);
     return !is_held || before.value != held.value;
   }
@@ -497,9 +519,12 @@
                           ? offer_origin::kWritten
                           : offer_origin::kCopy;
   const auto time = CarryTime(decoder_, carried->second.item, &held, origin);
-  if (time && state->era_began + *time > fleet_.loop.Now()) {
-    carried->second.until = state->era_began + *time;
-    return false;
+  if (time) {
+    const instant until = CarryEnd(state->era_began, *time);
+    if (until > fleet_.loop.Now()) {
+      carried->second.until = until;
+      return false;
+    }
   }
   const source_item in_force = std::move(carried->second.item);
   state->carried.erase(carried);
@@ -507,6 +532,15 @@
   return true;
 }
 
+bool source_mirror::IsOutOfOrder(const area_state& state,
+                                 const source_item& before,
+                                 const source_item& next) const {
+  // Only a source that came back from an older copy is written so.
+  if (state.position.era == 0) return false;
+  return CarryTime(decoder_, before, &next, offer_origin::kWritten) ==
+         kUntilWritten;
+}
+
 void source_mirror::Report(area_state* state, const std::string& key,
                            const source_item* before, bool ends_carried) {
   if (!on_item) return;
@@ -637,12 +671,17 @@
   state->era_revision = position.revision;
   state->change_revision = position.revision;
   state->complete = true;
+  // The new copy's history is that of the one before up to this revision, at
+  // least: the newest change that both hold.
+  std::uint64_t shared_up_to = 0;
   for (const auto& [key, item] : state->items) {
     state->digest += ItemHash(item, position.era);
     const auto same = held.find(key);
     if (same == held.end() || same->second.revision != item.revision ||
         same->second.value != item.value) {
       state->new_in_era.insert(key);
+    } else {
+      shared_up_to = std::max(shared_up_to, item.revision);
     }
     if (in_force.count(key) == 0) Report(state, key, nullptr, false);
   }
@@ -659,16 +698,27 @@
     const auto origin = knew_era || carried_before.count(key) != 0
                             ? offer_origin::kCopy
                             : offer_origin::kFirstEra;
-    const auto time =
+    auto time =
         same ? std::nullopt
              : CarryTime(decoder_, item,
                          is_offered ? &offered->second : nullptr, origin);
+    // It was removed before the copy was taken, so it isn't lost.
+    const bool was_removed = !is_offered && held.count(key) != 0 &&
+                             carried_before.count(key) == 0 &&
+                             item.revision < shared_up_to;
+    if (was_removed && time == kUntilWritten) time.reset();
     if (time) {
       const auto removed = state->removals.find(key);
       const bool is_inferred = item.removed &&
                                removed != state->removals.end() &&
                                removed->second.position.revision == 0;
-      state->carried[key] = {item, now + *time, is_inferred};
+      const auto earlier = carried_before.find(key);
+      mesh::source_position made = {before.era, item.revision};
+      if (item.removed && removed != state->removals.end()) {
+        made = removed->second.position;
+      }
+      if (earlier != carried_before.end()) made = earlier->second.made;
+      state->carried[key] = {item, CarryEnd(now, *time), is_inferred, made};
     } else if (!same || item.revision != offered->second.revision) {
       if (!is_offered) state->removals[key].last = item;
       Report(state, key, &item, true);
@@ -686,7 +736,7 @@
 
 instant source_mirror::EndOfCarried(const area_state& state,
                                     const carried_change& carried) const {
-  if (!fed_since_) return instant::max();
+  if (!fed_since_ || carried.until == instant::max()) return instant::max();
   // An upstream that isn't back by then counts as gone, and a zone that the
   // source shows as taken out is.
   const bool sends_less = state.area == source_area::kUpstreams
--- a/src/node/source_mirror.h
+++ b/src/node/source_mirror.h
@@ -115,10 +115,14 @@
   };
   // Applies a peer's items where they are newer.
   import_result Import(std::string_view bytes);
-  // A peer's copy was taken over whole, with its carried changes, in this era.
+  // A peer's copy was taken over whole, with its carried changes, in this era,
+  // and that peer knew the past.
   bool IsIntroduced(source_area area) const {
     return At(area).introduced_era == era_;
   }
+  // Whether this daemon can tell others what the source has lost: it was
+  // introduced itself since its start, or no daemon started before it.
+  bool KnowsPast(source_area area) const;
 
   struct item_change {
     source_area area = source_area::kSettings;
@@ -154,6 +158,7 @@
     instant until{};
     // A removal that only a new era's copy told of; peers needn't share it.
     bool is_inferred = false;
+    mesh::source_position made;  // Its place in the source's history.
   };
   struct area_state {
     source_area area = source_area::kSettings;
@@ -177,6 +182,7 @@
     std::set<std::string> new_in_era;
     std::map<std::string, carried_change> carried;
     std::uint64_t introduced_era = 0;  // See `IsIntroduced`.
+    bool knows_past = false;           // See `KnowsPast`.
     mesh::source_position answered;    // Place of the last answer.
     instant answered_at{};
     bool reading = false;   // A read is in flight.
@@ -250,6 +256,9 @@
   // daemon whose watches are answered is heard.
   bool IsFed(instant now) const;
   bool Apply(area_state* state, source_item item);
+  // The operators wrote `next` again after `before`, though it's the older one.
+  bool IsOutOfOrder(const area_state& state, const source_item& before,
+                    const source_item& next) const;
   void RecordPatch(area_state* state, const source_item& held,
                    const source_item& next);
   const std::string& PackFull(area_state* state, const source_item& item);
@@ -267,8 +276,13 @@
       area_state* state, const export_query& query, bool is_full);
   // How long a peer's carried change is to be in force here; none: not at all,
   // as this daemon knows as much or more of its key.
-  std::optional<duration> CarryTimeOfPeer(const area_state& state,
-                                          const source_item& item) const;
+  std::optional<duration> CarryTimeOfPeer(
+      const area_state& state, const mirror_message::carried& change) const;
+  // Records a removal of an earlier era for others that ask this daemon.
+  static void RecordUndone(area_state* state,
+                           const mirror_message::carried& change);
+  // Ends a carried change of this daemon that the peer knows to be undone.
+  bool EndUndone(area_state* state, const mirror_message::carried& change);
   // Puts a peer's carried changes in force that this daemon doesn't know.
   void AdoptCarried(area_state* state, const mirror_message& message);
   // The same, if the copies are of the same era.
--- a/testing/mirror_model/main.cc
+++ b/testing/mirror_model/main.cc
@@ -25,6 +25,8 @@
                         line);
   TCLAP::SwitchArg none("", "no-eras", "The source never comes back older",
                         line);
+  TCLAP::SwitchArg slow("", "slow-operators",
+                        "Operators make lost changes again slowly", line);
   TCLAP::SwitchArg trace("t", "trace", "Write what happens", line);
   TCLAP::SwitchArg log("", "log", "Write the daemons' logs", line);
   line.parse(argc, argv);
@@ -40,6 +42,7 @@
     options.eras = !none.getValue();
     options.hide_eras = hide.getValue();
     options.trace = trace.getValue();
+    options.slow_operators = slow.getValue();
     const model_report report = RunMirrorModel(options);
     returns += report.returns;
     if (report.violations.empty()) continue;
--- a/testing/mirror_model/model.h
+++ b/testing/mirror_model/model.h
@@ -29,6 +29,8 @@
   // Daemons aren't told the era: what they did before they knew of eras.
   bool hide_eras = false;
   bool trace = false;  // Writes what happens to standard error.
+  // Operators take long to make again what the source has lost.
+  bool slow_operators = false;
 };
 
 struct model_report {
--- a/testing/mirror_model/model_daemon.cc
+++ b/testing/mirror_model/model_daemon.cc
@@ -76,6 +76,8 @@
     news.address = fleet_.settings.peers.address;
     news.boot = fleet_.boot;
     news.sequence = ++sequence_;
+    news.uptime_ms = static_cast<std::uint64_t>(
+        (loop_.Now() - fleet_.started_at) / milliseconds(1));
     news.settings_position = mirror_.ChangePosition(source_area::kSettings);
     news.upstreams_position = mirror_.ChangePosition(source_area::kUpstreams);
     news.reads_source = mirror_.IsReading();
--- a/testing/mirror_model/model_source.cc
+++ b/testing/mirror_model/model_source.cc
@@ -62,7 +62,7 @@
   if (copies_.size() > kMaxCopies) copies_.erase(copies_.begin());
 }
 
-void model_source::Restore(core::duration age) {
+core::instant model_source::Restore(core::duration age) {
   const state* chosen = &copies_.front();
   for (const state& each : copies_) {
     if (each.at <= events_.now - age) chosen = &each;
@@ -77,12 +77,14 @@
   oldest_ = std::min(oldest_, revision_);
   if (oldest_ == revision_) history_.clear();
   ++era_;
+  const core::instant taken_at = chosen->at;
   // Some watches are cut; the others are never answered.
   for (const waiting& each : std::exchange(watches_, {})) {
     if (std::uniform_int_distribution<int>(0, 1)(random_) == 0) {
       Answer(each.done, tl::unexpected(node::source_problem::kUnreachable));
     }
   }
+  return taken_at;
 }
 
 bool model_source::Serves(const handler& done) {
--- a/testing/mirror_model/model_source.h
+++ b/testing/mirror_model/model_source.h
@@ -37,7 +37,7 @@
   void Compact();
   void SetMode(mode chosen) { mode_ = chosen; }
   // Goes back to the state of `age` ago, in a new era.
-  void Restore(core::duration age);
+  core::instant Restore(core::duration age);
   // To be called often: states to come back from, and for stale reads.
   void TakeCopy();
   // Without eras, as daemons see a source of earlier versions of this platform.
--- a/testing/unit/mirror_model_test.cc
+++ b/testing/unit/mirror_model_test.cc
@@ -28,6 +28,15 @@
   for (std::uint64_t seed = 1; seed <= 60; ++seed) Play({seed});
 }
 
+// Guards against ends by time of what operators wrote (review case 6).
+TEST_CASE("schedules in which operators write again slowly keep the rules") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    model_options options{seed};
+    options.slow_operators = true;
+    Play(options);
+  }
+}
+
 // Seeds that failed while the rules for lost changes were made.
 TEST_CASE("schedules that once failed keep the rules") {
   constexpr std::uint64_t kSeeds[] = {
