Ask an upstream if it is warm before it gets more than a cold one bears

Cause: the egress takes the warm-up time from health answers, but checks health only while the upstream isn't known to be up. While it answers calls, the entry in the store was the only word.

Change: `mesh::warmup_gate` allows calls within a cold upstream's rate at any time, and beyond it an allowance (half a second at that rate, and three calls) that a health answer without a warm-up time renews, less the calls since it was asked for. The egress asks when less than 0.4 of the allowance is left. So no second holds more calls without proof than rate x 1.5 + 3, whatever the upstream became and when. Services without such a rate or without a health check, and loads within the rate, cost no check. A directory change no longer shortens the cold time that a health answer gave.

Tests: node_test "an upstream that becomes cold again under load is asked in time" (64 calls on, 20 allowed); mesh_test "an upstream that becomes cold unseen gets few calls at any load" (400 schedules).

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -835,26 +835,50 @@
 // ---------------------------------------------------------------------------
 // Cold upstreams.
 
-// Limits the rate of calls to a cold upstream.
+// Limits the rate of calls to an upstream that is cold, or may be.
+//
+// An upstream may become cold again at any moment, and the calls that it
+// answers don't show it. So an upstream that counts as warm may get calls
+// beyond the rate of a cold one only up to an allowance, which an answer that
+// shows it warm renews. Calls within that rate need no such answer.
 class warmup_gate {
  public:
   // Calls that may start at once; below the burst that the platform's bound on
   // calls to a cold upstream allows.
   static constexpr double kBurst = 3;
 
-  void SetCold(instant until, double rate_per_s, instant now);
+  // `rate_per_s`: calls that a cold upstream bears; 0: any. `can_ask`: whether
+  // it can be asked if it is warm.
+  void SetRate(double rate_per_s, bool can_ask, instant now);
+  // Forgets what was known of another upstream.
+  void Reset(instant now);
+  // Known to be cold until then, at least.
+  void SetCold(instant until, instant now);
   bool IsCold(instant now) const { return now < cold_until_; }
   instant ColdUntil() const { return cold_until_; }
   // Takes a token for one call if there is one.
   bool Take(instant now);
-  // The earliest time at which the next call may start.
+  // The earliest time at which the next call may start without an answer.
   instant NextAt(instant now) const;
 
+  // Whether the upstream should be asked if it is warm.
+  bool ShouldAsk(instant now) const;
+  // To be kept while the upstream is asked.
+  std::uint64_t Taken() const { return taken_; }
+  // It said that it was warm when it was asked; `taken`: as of then.
+  void OnWarm(std::uint64_t taken);
+
  private:
+  double Allowance() const;
   void Refill(instant now);
+  double LevelAt(double level, double most, instant now) const;
+
   instant cold_until_{};
   double rate_per_s_ = 0;
-  double level_ = 0;
+  bool can_ask_ = false;
+  double level_ = 0;     // Of a cold upstream.
+  double unproven_ = 0;  // What is left of the allowance.
+  std::uint64_t taken_ = 0;
   instant refilled_at_{};
 };
 
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -112,6 +112,8 @@
 // What an upstream's health check reports.
 struct health_answer {
   bool healthy = false;  // The egress ignores it.
+  // False: the check was refused like a call, so nothing follows from it.
+  bool is_own_word = false;
   std::string upstream;
   duration warmup_left{0};
   sched::upstream_report load;
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -66,7 +66,8 @@
       pool_(fleet.loop, fleet.timers,
             {kUpstreamIdleTimeout, kUpstreamSilenceTimeout, kConnectTimeout,
              kMaxConnectionsPerUpstream}),
-      probes_(fleet.loop, fleet.timers, 1) {
+      probes_(fleet.loop, fleet.timers, 1),
+      warmth_probes_(fleet.loop, fleet.timers, 1) {
   server_.on_request =
       [this](const std::shared_ptr<stream::server_exchange>& inbound,
              stream::message_head head) {
@@ -404,6 +405,7 @@
     Refuse(call, core::reason::kDeadline, kIngressRetryAfter);
   }
   if (controls_overload_) RefuseOvertaken();
+  AskIfWarm();
   ScheduleWake();
 }
 
@@ -626,6 +628,7 @@
                 {"queued", std::to_string(queue_.Size())}});
     }
   }
+  AskIfWarm();
   const bool should_probe = state_ != upstream_state::kUp;
   if (should_probe && now - probed_at_ >= kDownProbePeriod) Probe();
 }
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -139,8 +139,16 @@
   void OnUpstreamDown();
   void RecordLostCall(const call& call);
   void ExpireCrashNews(instant now);
-  void Probe();
-  void OnHealth(const health_answer& health);
+  // Why the upstream's health is checked: whether it is there and how loaded,
+  // or only whether it is warm.
+  enum class probe_purpose { kState, kWarmth };
+  void Probe(probe_purpose purpose = probe_purpose::kState);
+  void OnHealth(const health_answer& health, probe_purpose purpose,
+                std::uint64_t taken_before);
+  // Asks the upstream if it is warm, when calls beyond the rate of a cold one
+  // depend on it.
+  void AskIfWarm();
+  const mesh::service* UpstreamService() const;
   void SetCold(duration left);
   void ScheduleWake();
   // The order of the queue, by the settings and the configuration in force.
@@ -154,10 +162,15 @@
   stream::server server_;
   stream::client_pool pool_;
   net::http_client probes_;
+  // Apart from the others, so that calls don't wait for one that isn't
+  // answered.
+  net::http_client warmth_probes_;
   std::optional<mesh::upstream> upstream_;
   upstream_state state_ = upstream_state::kUnknown;
   bool probing_ = false;
   instant probed_at_{};
+  bool asking_if_warm_ = false;
+  instant asked_if_warm_at_{};
   bool stopping_ = false;
 
   std::uint64_t last_id_ = 0;
--- a/src/node/egress_answers.cc
+++ b/src/node/egress_answers.cc
@@ -28,8 +28,10 @@
   DropFleetHeaders(&call->answer.headers);
   if (upstream_ && upstream_->id == call->upstream &&
       !call->answer_info.wrong_instance) {
-    monitor_.OnReport(call->answer_info.load, static_cast<int>(running_.size()),
-                      fleet_.loop.Now());
+    // Health checks in flight may count as calls there.
+    const int own = static_cast<int>(running_.size()) + (probing_ ? 1 : 0) +
+                    (asking_if_warm_ ? 1 : 0);
+    monitor_.OnReport(call->answer_info.load, own, fleet_.loop.Now());
   }
   OnUpstreamUp();
   const bool is_large = call->answer.framing == stream::body_framing::kLength &&
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -17,6 +17,11 @@
 // refused connection that confirms the crash follows within this time.
 constexpr duration kCrashWindow = std::chrono::seconds(3);
 constexpr duration kProbeTimeout = milliseconds(900);
+// Some upstreams never answer what they have no room for, so a check on which
+// calls wait is given up early and made again.
+constexpr duration kWarmthProbeTimeout = milliseconds(200);
+// Shortest time between two checks if the upstream is warm.
+constexpr duration kWarmthProbePeriod = milliseconds(40);
 
 }  // namespace
 
@@ -39,6 +44,10 @@
                       upstream_->born_ms != entry->what.born_ms;
   const bool was_draining = upstream_ && upstream_->draining;
   upstream_ = entry->what;
+  const mesh::service* service = UpstreamService();
+  if (is_new) gate_.Reset(now);
+  gate_.SetRate(service == nullptr ? 0 : service->warmup_per_s,
+                service != nullptr && !service->health_path.empty(), now);
   const duration cold_left = entry->read_at + upstream_->warmup_left - now;
   if (cold_left.count() > 0) SetCold(cold_left);
   if (is_new) {
@@ -62,12 +71,15 @@
   StartQueuedCalls();
 }
 
+const mesh::service* egress::UpstreamService() const {
+  return fleet_.config && upstream_
+             ? fleet_.config->FindService(upstream_->service)
+             : nullptr;
+}
+
 void egress::SetCold(duration left) {
   const instant now = fleet_.loop.Now();
-  const mesh::service* service =
-      fleet_.config && upstream_
-          ? fleet_.config->FindService(upstream_->service)
-          : nullptr;
+  const mesh::service* service = UpstreamService();
   if (service == nullptr || service->warmup_per_s <= 0) return;
   if (!gate_.IsCold(now)) {
     net::Log(core::log_level::kInfo, "upstream is cold",
@@ -75,44 +87,65 @@
               {"left_ms", MsText(left)},
               {"per_s", std::to_string(service->warmup_per_s)}});
   }
-  gate_.SetCold(now + left, service->warmup_per_s, now);
+  gate_.SetCold(now + left, now);
 }
 
-void egress::Probe() {
-  if (probing_ || !upstream_ || !fleet_.config) return;
-  const mesh::service* service = fleet_.config->FindService(upstream_->service);
+void egress::Probe(probe_purpose purpose) {
+  const bool is_state = purpose == probe_purpose::kState;
+  bool& in_flight = is_state ? probing_ : asking_if_warm_;
+  if (in_flight || !upstream_ || !fleet_.config) return;
+  const mesh::service* service = UpstreamService();
   if (service == nullptr || service->health_path.empty()) {
     OnUpstreamUp();
     return;
   }
-  probing_ = true;
-  probed_at_ = fleet_.loop.Now();
+  in_flight = true;
+  (is_state ? probed_at_ : asked_if_warm_at_) = fleet_.loop.Now();
+  fleet_.metrics.CountHealthCheck(is_state ? "state" : "warmth");
   net::http_request request;
   request.target = fleet_.settings.upstream;
   request.path = service->health_path;
-  request.timeout = kProbeTimeout;
-  probes_.Start(
-      request,
-      [this](const tl::expected<net::http_answer, net::http_failure>& answer) {
-        probing_ = false;
-        if (!answer) {
-          if (answer.error() == net::http_failure::kNotSent) {
-            OnUpstreamDown();
-            return;
-          }
-          // It accepted the connection, so it may just be busy.
-          OnUpstreamUp();
-          StartQueuedCalls();
-          return;
-        }
-        OnHealth(fleet_.dialect.ReadHealth(*answer));
-      });
+  request.timeout = is_state ? kProbeTimeout : kWarmthProbeTimeout;
+  (is_state ? probes_ : warmth_probes_)
+      .Start(
+          request,
+          [this, purpose, &in_flight, taken = gate_.Taken()](
+              const tl::expected<net::http_answer, net::http_failure>& answer) {
+            in_flight = false;
+            if (answer) {
+              OnHealth(fleet_.dialect.ReadHealth(*answer), purpose, taken);
+            } else if (answer.error() == net::http_failure::kNotSent) {
+              OnUpstreamDown();
+            } else {
+              // It accepted the connection, so it may just be busy.
+              OnUpstreamUp();
+              StartQueuedCalls();
+            }
+          });
+}
+
+void egress::AskIfWarm() {
+  const instant now = fleet_.loop.Now();
+  if (state_ != upstream_state::kUp || !gate_.ShouldAsk(now)) return;
+  if (now - asked_if_warm_at_ >= kWarmthProbePeriod) {
+    Probe(probe_purpose::kWarmth);
+  }
 }
 
-void egress::OnHealth(const health_answer& health) {
-  if (health.warmup_left.count() > 0) SetCold(health.warmup_left);
-  monitor_.OnReport(health.load, static_cast<int>(running_.size()),
-                    fleet_.loop.Now());
+void egress::OnHealth(const health_answer& health, probe_purpose purpose,
+                      std::uint64_t taken_before) {
+  const bool is_own =
+      health.upstream.empty() || !upstream_ || health.upstream == upstream_->id;
+  if (health.warmup_left.count() > 0) {
+    SetCold(health.warmup_left);
+  } else if (health.is_own_word && is_own) {
+    gate_.OnWarm(taken_before);
+  }
+  // The check itself may count as running.
+  if (purpose == probe_purpose::kState) {
+    monitor_.OnReport(health.load, static_cast<int>(running_.size()),
+                      fleet_.loop.Now());
+  }
   OnUpstreamUp();
   StartQueuedCalls();
 }
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -67,6 +67,8 @@
       rank_refusals_(
           Counters("pimentohall_rank_refusals_total",
                    "Calls not sent because no upstream takes their rank.")),
+      health_checks_(Counters("pimentohall_health_checks_total",
+                              "Health checks of this VM's upstream.")),
       news_(Counters("pimentohall_news_total", "News datagrams.")),
       news_bytes_(
           Counters("pimentohall_news_bytes_total", "Bytes of news datagrams.")),
@@ -221,6 +223,10 @@
   counter->Increment();
 }
 
+void node_metrics::CountHealthCheck(const char* purpose) {
+  health_checks_->Add({{"purpose", purpose}}).Increment();
+}
+
 void node_metrics::SetUpstreamConnections(const stream::pool_counts& counts) {
   RaiseTo(&upstream_connections_->Add({{"event", "opened"}}),
           static_cast<double>(counts.opened));
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -59,6 +59,8 @@
                       std::size_t bytes);
   // A request on a link to another daemon.
   void CountLink(bool is_reused, bool is_far);
+  // `purpose`: what this VM's upstream is asked for.
+  void CountHealthCheck(const char* purpose);
   void SetUpstreamConnections(const stream::pool_counts& counts);
   void CountDroppedLogLines(std::uint64_t total);
 
@@ -107,6 +109,7 @@
   prometheus::Family<prometheus::Gauge>* source_revisions_;
   prometheus::Family<prometheus::Gauge>* carried_changes_;
   prometheus::Family<prometheus::Counter>* rank_refusals_;
+  prometheus::Family<prometheus::Counter>* health_checks_;
   prometheus::Family<prometheus::Counter>* news_;
   prometheus::Family<prometheus::Counter>* news_bytes_;
   prometheus::Family<prometheus::Counter>* peer_bytes_;
--- a/testing/load_model/model.cc
+++ b/testing/load_model/model.cc
@@ -54,8 +54,9 @@
       DrawStalls(seed * 1000 + i, at.get());
       const double cold = at->what->cold_until_s;
       if (cold > 0) {
-        at->gate.SetCold(kStart + Ms(cold * 1000), at->what->cold_per_s,
-                         kStart + Ms(at->what->from_s * 1000));
+        const instant from = kStart + Ms(at->what->from_s * 1000);
+        at->gate.SetRate(at->what->cold_per_s, false, from);
+        at->gate.SetCold(kStart + Ms(cold * 1000), from);
       }
       upstreams_.push_back(std::move(at));
     }
@@ -343,8 +344,8 @@
     At(pattern_.lost_from_s * 1000, [this] { LoseAll(); });
     At(pattern_.lost_until_s * 1000, [this] {
       for (const auto& at : upstreams_) {
-        at->gate.SetCold(now_ + Ms(pattern_.cold_after_loss_s * 1000),
-                         pattern_.cold_after_loss_per_s, now_);
+        at->gate.SetRate(pattern_.cold_after_loss_per_s, false, now_);
+        at->gate.SetCold(now_ + Ms(pattern_.cold_after_loss_s * 1000), now_);
       }
     });
   }
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -606,7 +606,8 @@
 TEST_CASE("a cold upstream gets no more calls than its warmup rate allows") {
   warmup_gate gate;
   CHECK(gate.Take(kStart));
-  gate.SetCold(kStart + seconds(5), 13, kStart);
+  gate.SetRate(13, false, kStart);
+  gate.SetCold(kStart + seconds(5), kStart);
   std::deque<instant> taken;
   std::size_t max_taken = 0;
   for (instant now = kStart; now < kStart + seconds(5);
@@ -621,12 +622,86 @@
   CHECK(max_taken >= 13);
   CHECK(gate.Take(kStart + seconds(6)));
   // A further update for the same start doesn't refill the gate.
-  gate.SetCold(kStart + seconds(20), 13, kStart + seconds(10));
-  gate.SetCold(kStart + seconds(20), 13, kStart + seconds(10));
+  gate.SetCold(kStart + seconds(20), kStart + seconds(10));
+  gate.SetCold(kStart + seconds(20), kStart + seconds(10));
   CHECK_FALSE(gate.Take(kStart + seconds(10)));
   CHECK(gate.NextAt(kStart + seconds(10)) > kStart + seconds(10));
 }
 
+// Guards against full load on an upstream that becomes cold again and can't
+// write so to the store (review case 7).
+TEST_CASE("an upstream that becomes cold unseen gets few calls at any load") {
+  constexpr double kRate = 13;
+  constexpr int kBound = 24;  // Of the platform's pages, at this rate.
+  std::mt19937 random(7);
+  const auto draw = [&random](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  for (int round = 0; round < 400; ++round) {
+    const int calls_per_s = draw(5, 300);
+    const duration answer_time = milliseconds(draw(1, 80));
+    const instant cold_at = kStart + milliseconds(draw(500, 3000));
+    const bool asks = round % 8 != 0;  // Else the upstream never answers.
+    CAPTURE(round);
+    CAPTURE(calls_per_s);
+    warmup_gate gate;
+    gate.SetRate(kRate, true, kStart);
+    std::optional<instant> asked_at;
+    std::uint64_t taken_when_asked = 0;
+    std::deque<instant> cold_starts;
+    std::size_t most = 0;
+    int wanted = 0;
+    int starts_while_warm = 0;
+    for (instant now = kStart; now < cold_at + seconds(2);
+         now += milliseconds(1)) {
+      if (asked_at && now >= *asked_at + answer_time) {
+        // The state as of the asking, at the earliest.
+        if (*asked_at < cold_at) {
+          gate.OnWarm(taken_when_asked);
+        } else {
+          gate.SetCold(cold_at + seconds(30), now);
+        }
+        asked_at.reset();
+      }
+      if (draw(1, 1000) <= calls_per_s) wanted = std::min(wanted + 1, 60);
+      while (wanted > 0 && gate.Take(now)) {
+        --wanted;
+        if (now >= cold_at) cold_starts.push_back(now);
+        if (now < cold_at) ++starts_while_warm;
+      }
+      if (asks && !asked_at && gate.ShouldAsk(now)) {
+        asked_at = now;
+        taken_when_asked = gate.Taken();
+      }
+      while (!cold_starts.empty() && cold_starts.front() + seconds(1) <= now) {
+        cold_starts.pop_front();
+      }
+      most = std::max(most, cold_starts.size());
+    }
+    CHECK(most <= kBound);
+    // A warm one that answers soon isn't held back.
+    if (asks && answer_time <= milliseconds(20) && calls_per_s <= 100) {
+      CHECK(starts_while_warm + wanted + 8 >=
+            0.7 * calls_per_s *
+                std::chrono::duration<double>(cold_at - kStart).count());
+    }
+  }
+}
+
+// Calls that a cold upstream would bear too need no answer that it is warm.
+TEST_CASE("an upstream isn't asked if it is warm for few calls") {
+  warmup_gate gate;
+  gate.SetRate(13, true, kStart);
+  for (int i = 0; i < 120; ++i) {
+    const instant now = kStart + i * milliseconds(80);
+    CHECK(gate.Take(now));
+    CHECK_FALSE(gate.ShouldAsk(now));
+  }
+  // Nor is one that can't be asked held back.
+  gate.SetRate(13, false, kStart + seconds(10));
+  for (int i = 0; i < 50; ++i) CHECK(gate.Take(kStart + seconds(10)));
+}
+
 TEST_CASE(
     "the picker prefers free slots, speed, low failures and its own zone") {
   const duration typical = milliseconds(100);
--- a/testing/unit/node_test.cc
+++ b/testing/unit/node_test.cc
@@ -559,6 +559,34 @@
   CHECK(fleet.Runs() <= 10 * 1.5 + 5);
 }
 
+// Guards against belief in the store alone (review case 7): the upstream
+// becomes cold again while its entry says nothing, and only its health answers
+// tell.
+TEST_CASE("an upstream that becomes cold again under load is asked in time") {
+  node_fleet fleet(1);
+  fleet.Start();
+  upstream_standin& upstream = *fleet.upstreams[0];
+  const auto call_for = [&](core::duration time) {
+    std::vector<std::shared_ptr<caller_exchange>> calls;
+    for (core::duration at{0}; at < time; at += milliseconds(15)) {
+      calls.push_back(fleet.StartCall(0, "GET", "/read/1"));
+      fleet.RunFor(milliseconds(15));
+    }
+    return calls;
+  };
+  const int probes_before = upstream.probes;
+  call_for(milliseconds(1500));
+  const int warm_runs = fleet.Runs();
+  CHECK(warm_runs >= 70);
+  // One check for a handful of calls at most.
+  CHECK(upstream.probes - probes_before <= warm_runs / 3);
+  upstream.warmup_ms = "20000";
+  upstream.runs.clear();
+  call_for(milliseconds(950));
+  CHECK(fleet.Runs() >= 5);
+  CHECK(fleet.Runs() <= 10 * 1.5 + 5);
+}
+
 TEST_CASE("the readiness, metrics and state pages are served without keys") {
   node_fleet fleet(1);
   fleet.upstreams[0]->load = [] { return "1,0,4,2000"; };
