Ask whether an upstream is warm only where the bound depends on it

Change: the gate counts the unproven calls of the last second, with those that a cold upstream would get in its rest, against the bound of the settings (warmupOvershoot, warmupSlack; 1.5 and 5 where they are missing). The distance at which it asks follows the calls that were started while it waited before.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -835,18 +835,27 @@
 // ---------------------------------------------------------------------------
 // Cold upstreams.
 
+// The most calls that a cold upstream may get in a second: `factor` times its
+// rate, and `calls` more.
+struct cold_bound {
+  double factor = 1.5;
+  double calls = 5;
+};
+
 // Limits the rate of calls to an upstream that is cold, or may be.
 //
 // An upstream may become cold again at any moment, and the calls that it
-// answers don't show it. So an upstream that counts as warm may get calls
-// beyond the rate of a cold one only up to an allowance, which an answer that
-// shows it warm renews. Calls within that rate need no such answer.
+// answers don't show it. So one that counts as warm gets only so many calls
+// without proof of it that, if it became cold before them, they and those that
+// a cold one gets next stay within the bound on calls in a second. Its answer
+// that it is warm proves this for the calls before it was asked.
 class warmup_gate {
  public:
   // Calls that may start at once; below the burst that the platform's bound on
   // calls to a cold upstream allows.
   static constexpr double kBurst = 3;
 
+  explicit warmup_gate(cold_bound bound = {}) : bound_(bound) {}
   // `rate_per_s`: calls that a cold upstream bears; 0: any. `can_ask`: whether
   // it can be asked if it is warm.
   void SetRate(double rate_per_s, bool can_ask, instant now);
@@ -869,17 +878,26 @@
   void OnWarm(std::uint64_t taken);
 
  private:
-  double Allowance() const;
+  // Most calls in a second, cold or not, without proof.
+  double Limit() const;
+  // The calls of the busiest second that begins with an unproven call, if the
+  // upstream were known to be cold from now on.
+  double Unproven(instant now) const;
+  // The upstream is asked this many calls before the limit, so that its answer
+  // comes in time.
+  double AskMargin() const;
   void Refill(instant now);
-  double LevelAt(double level, double most, instant now) const;
+  double LevelAt(instant now) const;
 
+  cold_bound bound_;
   instant cold_until_{};
   double rate_per_s_ = 0;
   bool can_ask_ = false;
-  double level_ = 0;     // Of a cold upstream.
-  double unproven_ = 0;  // What is left of the allowance.
-  std::uint64_t taken_ = 0;
+  double level_ = 0;  // Of a cold upstream.
   instant refilled_at_{};
+  std::uint64_t taken_ = 0;
+  double taken_while_asking_ = 0;  // Usually, at most.
+  std::deque<instant> unproven_;   // Calls of the last second; oldest first.
 };
 
 // ---------------------------------------------------------------------------
--- a/include/pimentohall/node.h
+++ b/include/pimentohall/node.h
@@ -56,6 +56,7 @@
   // Time from SIGTERM until the process is killed.
   duration grace = std::chrono::seconds(6);
   mesh::retry_limits retries;
+  mesh::cold_bound cold_upstreams;
   // Requests of one caller's connection that are passed on before the first of
   // them is answered.
   std::size_t max_pipelined = 8;
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -67,7 +67,8 @@
             {kUpstreamIdleTimeout, kUpstreamSilenceTimeout, kConnectTimeout,
              kMaxConnectionsPerUpstream}),
       probes_(fleet.loop, fleet.timers, 1),
-      warmth_probes_(fleet.loop, fleet.timers, 1) {
+      warmth_probes_(fleet.loop, fleet.timers, 1),
+      gate_(fleet.settings.cold_upstreams) {
   server_.on_request =
       [this](const std::shared_ptr<stream::server_exchange>& inbound,
              stream::message_head head) {
