Tell daemons that start, or were out of touch, of earlier crashes

Three daemons are stopped and started in turn, 16 s apart, and it runs again: 7 retries reach upstreams on, 3 are allowed.

Cause: a crash is told in news for 5 s, by the daemon that saw it. A daemon that starts later derives its verdict from nothing. A daemon that was out of touch for that time misses the crash too; a list of more than 64 reports had the other daemons reject the sender's news.

Change: `crash_follower` asks a peer for the crashes that it holds, at a start until one answers that knows all, and when a peer is back in touch. Elder peers are asked first; without one, others, which an elder may have told meanwhile. News tell a crash for 9 s, at most 64 reports.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -299,6 +299,8 @@
   bool reads_source = false;  // The source answers this daemon's own reads.
   std::optional<load_news> load;
   std::vector<tenant_count> admitted;
+  // News with more are rejected.
+  static constexpr std::size_t kMaxCrashes = 64;
   std::vector<core::crash_report> crashes;
   friend bool operator==(const peer_news& a, const peer_news& b);
 };
@@ -309,6 +311,17 @@
 tl::expected<peer_news, std::string> DecodeNews(std::string_view bytes,
                                                 const std::string& address);
 
+// What a daemon holds of crashes, for one that asks.
+struct crash_history {
+  // Whether the sender has seen or been told of all of them.
+  bool is_complete = false;
+  std::vector<core::crash_report> reports;
+};
+std::string EncodeCrashHistory(const crash_history& history);
+// Rejects bytes that `EncodeCrashHistory` can't have produced.
+tl::expected<crash_history, std::string> DecodeCrashHistory(
+    std::string_view bytes);
+
 // How often a daemon sends news to the daemons of its own availability zone
 // (near) and of other ones (far).
 struct news_periods {
@@ -867,7 +880,7 @@
   instant ColdUntil() const { return cold_until_; }
   // Takes a token for one call if there is one.
   bool Take(instant now);
-  // The earliest time at which the next call may start without an answer.
+  // The earliest time at which the next call may start without proof.
   instant NextAt(instant now) const;
 
   // Whether the upstream should be asked if it is warm.
--- a/src/core/crash_guard.cc
+++ b/src/core/crash_guard.cc
@@ -33,6 +33,28 @@
   Record(report.crash, report.fingerprint, report.alone, now - age);
 }
 
+std::vector<crash_report> crash_guard::Reports(instant now) const {
+  std::vector<std::pair<std::size_t, std::uint64_t>> order;
+  for (const auto& [fingerprint, entry] : suspects_) {
+    order.emplace_back(entry.crashes.size(), fingerprint);
+  }
+  std::sort(order.rbegin(), order.rend());
+  std::vector<crash_report> reports;
+  for (const auto& [count, fingerprint] : order) {
+    for (const std::uint64_t crash : suspects_.at(fingerprint).crashes) {
+      const auto record = crashes_.find(crash);
+      if (record == crashes_.end()) continue;
+      const duration age = now - record->second.time;
+      if (age >= kRetention) continue;
+      if (reports.size() == kMaxReports) return reports;
+      reports.push_back(
+          {fingerprint, crash, record->second.alone,
+           std::chrono::duration_cast<std::chrono::milliseconds>(age).count()});
+    }
+  }
+  return reports;
+}
+
 void crash_guard::Record(std::uint64_t crash, std::uint64_t fingerprint,
                          bool alone, instant time) {
   auto found = suspects_.find(fingerprint);
--- a/src/core/crash_guard.h
+++ b/src/core/crash_guard.h
@@ -47,6 +47,10 @@
                                     bool alone, instant now);
   // Records a peer's report; duplicates have no effect.
   void Merge(const crash_report& report, instant now);
+  // What is held at present, for a peer that hasn't seen it; the fingerprints
+  // with the most crashes first, at most `kMaxReports`.
+  static constexpr std::size_t kMaxReports = 1000;
+  std::vector<crash_report> Reports(instant now) const;
   // Clears the fingerprint of a call that was answered.
   void OnAnswered(std::uint64_t fingerprint);
 
--- a/src/mesh/news_codec.cc
+++ b/src/mesh/news_codec.cc
@@ -21,7 +21,6 @@
 static_assert(kMaxSourceEra <= ~std::uint64_t{0} >> kSequenceBits);
 constexpr double kSlownessSteps = 100;
 constexpr std::size_t kMaxCounts = 1000;
-constexpr std::size_t kMaxCrashes = 64;
 
 // Tenant counts are packed into bytes, since they are most of the traffic
 // between zones: the hash as 4 bytes in little-endian order, then both numbers
@@ -225,7 +224,7 @@
     }
     auto counts = DecodeCounts(fields.at(9).get_binary());
     if (!counts) return tl::unexpected(counts.error());
-    if (fields.at(10).size() > kMaxCrashes) {
+    if (fields.at(10).size() > peer_news::kMaxCrashes) {
       return tl::unexpected(std::string("lists are too long"));
     }
     peer_news news = DecodeFields(fields);
@@ -237,4 +236,30 @@
   }
 }
 
+// An array: whether the history is complete, and the reports.
+std::string EncodeCrashHistory(const crash_history& history) {
+  json reports = json::array();
+  for (const core::crash_report& each : history.reports) {
+    reports.push_back(EncodeCrash(each));
+  }
+  std::string bytes;
+  json::to_cbor(json::array({history.is_complete, std::move(reports)}), bytes);
+  return bytes;
+}
+
+tl::expected<crash_history, std::string> DecodeCrashHistory(
+    std::string_view bytes) {
+  try {
+    const json fields = json::from_cbor(bytes.begin(), bytes.end());
+    crash_history history;
+    history.is_complete = fields.at(0).get<bool>();
+    for (const json& each : fields.at(1)) {
+      history.reports.push_back(DecodeCrash(each));
+    }
+    return history;
+  } catch (const json::exception& problem) {
+    return tl::unexpected(std::string(problem.what()));
+  }
+}
+
 }  // namespace pimentohall::mesh
--- a/src/node/egress.cc
+++ b/src/node/egress.cc
@@ -40,6 +40,7 @@
 constexpr char kTextType[] = "text/plain";
 constexpr char kCborType[] = "application/cbor";
 constexpr char kMirrorPath[] = "/pimentohall/mirror?";
+constexpr char kCrashesPath[] = "/pimentohall/crashes";
 // "boot=B&id=A" follows: whether the process with boot B ran attempt A.
 constexpr char kAttemptPath[] = "/pimentohall/attempt?";
 constexpr std::string_view kIdField = "&id=";
@@ -95,6 +96,11 @@
           on_mirror_request ? on_mirror_request(head.target) : "");
     return;
   }
+  if (head.target == kCrashesPath) {
+    Reply(inbound, 200, kCborType,
+          on_crashes_request ? on_crashes_request() : "");
+    return;
+  }
   if (head.target.rfind(kAttemptPath, 0) == 0) {
     OnAttemptQuery(inbound, head.target.substr(sizeof(kAttemptPath) - 1));
     return;
--- a/src/node/egress.h
+++ b/src/node/egress.h
@@ -66,10 +66,14 @@
   // Recent crash reports, to be sent to the other daemons.
   std::vector<core::crash_report> CrashNews() const;
   void OnCrashNews(const core::crash_report& report);
+  // What this daemon holds of crashes, its own and those of others.
+  std::vector<core::crash_report> KnownCrashes() const;
 
   // Answers another daemon's request for items of the source. The argument is
   // the request's path and query.
   std::function<std::string(const std::string& target)> on_mirror_request;
+  // Answers another daemon's request for the known crashes.
+  std::function<std::string()> on_crashes_request;
 
  private:
   struct call;
--- a/src/node/egress_upstream.cc
+++ b/src/node/egress_upstream.cc
@@ -11,8 +11,9 @@
 
 using std::chrono::milliseconds;
 
-// How long a crash report is sent to the other daemons.
-constexpr duration kCrashNewsLifetime = std::chrono::seconds(5);
+// How long a crash report is sent to the other daemons: in two datagrams, also
+// at the longest period of news.
+constexpr duration kCrashNewsLifetime = std::chrono::seconds(9);
 // When a process crashes, its connections break within a few milliseconds. The
 // refused connection that confirms the crash follows within this time.
 constexpr duration kCrashWindow = std::chrono::seconds(3);
@@ -178,6 +179,7 @@
              crash, lost_fingerprints_, lost_fingerprints_.size() == 1, now)) {
       crash_news_.emplace_back(now, report);
     }
+    ExpireCrashNews(now);
     net::Log(core::log_level::kWarning, "upstream crashed",
              {{"upstream", upstream_ ? upstream_->id : ""},
               {"in_flight", std::to_string(lost_fingerprints_.size())}});
@@ -212,7 +214,8 @@
 
 void egress::ExpireCrashNews(instant now) {
   while (!crash_news_.empty() &&
-         crash_news_.front().first + kCrashNewsLifetime < now) {
+         (crash_news_.front().first + kCrashNewsLifetime < now ||
+          crash_news_.size() > mesh::peer_news::kMaxCrashes)) {
     crash_news_.erase(crash_news_.begin());
   }
 }
@@ -221,6 +224,10 @@
   guard_.Merge(report, fleet_.loop.Now());
 }
 
+std::vector<core::crash_report> egress::KnownCrashes() const {
+  return guard_.Reports(fleet_.loop.Now());
+}
+
 std::optional<mesh::load_news> egress::Load() const {
   if (!upstream_) return std::nullopt;
   const instant now = fleet_.loop.Now();
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -5,6 +5,7 @@
 // daemon's view of the fleet. Only the node updates what comes from the source;
 // ingress and egress read it and add what they observe from calls.
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -121,6 +122,13 @@
     return uptime > now - started_at + kClearly;
   }
 
+  bool HearsElder(instant now) const {
+    const auto& known = peers.Peers();
+    return std::any_of(known.begin(), known.end(), [&](const auto& each) {
+      return peers.IsHeard(each.first, now) && IsElder(each.second, now);
+    });
+  }
+
   // The availability zone of the VM with this address; empty: not known.
   std::string ZoneOf(const std::string& address) const {
     const auto found = zone_of_address.find(address);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "node/crash_follower.h"
 #include "node/egress.h"
 #include "node/fleet_state.h"
 #include "node/ingress.h"
@@ -48,6 +49,7 @@
         news_(fleet_),
         transport_(fleet_),
         follower_(fleet_, mirror_, transport_),
+        crashes_(fleet_, egress_, transport_),
         ready_(loop, timers, fleet_.settings.ready,
                ClientLimitsFor(listener_kind::kPages, fleet_.settings)),
         admin_(loop, timers, fleet_.settings.admin,
@@ -64,6 +66,7 @@
     egress_.on_mirror_request = [this](const std::string& target) {
       return follower_.Answer(target);
     };
+    egress_.on_crashes_request = [this] { return crashes_.Answer(); };
   }
 
   ~impl() {
@@ -366,6 +369,10 @@
     const bool is_first = change == mesh::peer_table::change::kFirst;
     if (is_first || change == mesh::peer_table::change::kNewBoot) {
       ReplyToFirstNews(news.address);
+      crashes_.Check();
+    }
+    if (change == mesh::peer_table::change::kReturned) {
+      crashes_.OnPeerReturned(news.address);
     }
     fleet_.allotments.OnNews(news, is_first, now);
     if (news.load) fleet_.OnLoad(ServiceOf(news.load->upstream), *news.load);
@@ -401,6 +408,7 @@
                                now);
     mirror_.RunMaintenance();
     follower_.Check();
+    crashes_.Check();
     LogClientLimits(now);
   }
 
@@ -608,6 +616,7 @@
   news_service news_;
   http_peer_transport transport_;
   peer_follower follower_;
+  crash_follower crashes_;
   page_server ready_;
   page_server admin_;
   instant client_limits_logged_at_{};
--- a/src/node/source_mirror.cc
+++ b/src/node/source_mirror.cc
@@ -123,11 +123,7 @@
   const instant now = fleet_.loop.Now();
   if (At(area).knows_past) return true;
   if (now - fleet_.started_at < kRoleDelay) return false;
-  const auto& peers = fleet_.peers.Peers();
-  return std::none_of(peers.begin(), peers.end(), [&](const auto& each) {
-    return fleet_.peers.IsHeard(each.first, now) &&
-           fleet_.IsElder(each.second, now);
-  });
+  return !fleet_.HearsElder(now);
 }
 
 bool source_mirror::IsReading() const {
