Let daemons that are replaced spend the retry budget once

Cause: a daemon that starts knows nothing of the retries that the process before it took. If all are replaced within a window, nested calls may take 0.8 of the fixed part twice: 96 retries where 80 are allowed (12 daemons, 5 calls each, in mesh_test "daemons that are replaced spend the retry budget once" on the code before).

Change: in the first window after its start a daemon takes a quarter of its fixed share for nested calls. Callers' calls take 0.35 at most, so twice stays within. The test then counts at most 80.

--- a/include/pimentohall/mesh.h
+++ b/include/pimentohall/mesh.h
@@ -555,7 +555,13 @@
   // the whole call that made them.
   static constexpr double kNestedUsedShare = 0.8;
 
-  explicit retry_budget(retry_limits limits) : limits_(limits) {}
+  // The same for the fixed part of the budget in the first window after the
+  // daemon's start, as the one that it replaces may have spent its own.
+  static constexpr double kNewNestedSlackShare = 0.25;
+
+  explicit retry_budget(retry_limits limits,
+                        instant started_at = instant::min())
+      : limits_(limits), started_at_(started_at) {}
   void SetFleet(std::size_t daemons) {
     daemons_ = std::max<std::size_t>(1, daemons);
   }
@@ -573,6 +579,7 @@
   void Expire(window_counts* counts, instant now) const;
 
   retry_limits limits_;
+  instant started_at_;
   std::size_t daemons_ = 1;
   std::unordered_map<std::string, window_counts> services_;
 };
--- a/src/mesh/retry_budget.cc
+++ b/src/mesh/retry_budget.cc
@@ -52,9 +52,12 @@
   window_counts& counts = services_[service];
   Expire(&counts, now);
   const double share = nested ? kNestedUsedShare : kUsedShare;
+  const bool is_new =
+      started_at_ != instant::min() && now - started_at_ < limits_.window;
+  const double slack_share = nested && is_new ? kNewNestedSlackShare : 1;
   const double allowed =
       share * (limits_.ratio * static_cast<double>(counts.calls.size()) +
-               limits_.slack / static_cast<double>(daemons_));
+               slack_share * limits_.slack / static_cast<double>(daemons_));
   if (static_cast<double>(counts.retries.size()) + 1 > allowed) return false;
   counts.retries.push_back(now);
   return true;
--- a/src/node/fleet_state.h
+++ b/src/node/fleet_state.h
@@ -29,7 +29,7 @@
         splitter(own_boot),
         peers(settings.peers.address, own_boot),
         allotments(started_at),
-        retries(settings.retries),
+        retries(settings.retries, started_at),
         picker(own_boot) {}
 
   net::event_loop& loop;
--- a/testing/unit/mesh_test.cc
+++ b/testing/unit/mesh_test.cc
@@ -573,6 +573,29 @@
   CHECK(nested.TakeRetry("ledger", false, kStart + seconds(11)));
 }
 
+// Guards against a fleet that spends its retries twice in a window, as daemons
+// that are replaced know nothing of those before.
+TEST_CASE("daemons that are replaced spend the retry budget once") {
+  constexpr int kDaemons = 12;
+  constexpr int kCalls = 5;  // Of each process.
+  const retry_limits limits = {0.2, 56, seconds(10)};
+  for (const bool callers_first : {false, true}) {
+    int retries = 0;
+    for (int i = 0; i < 2 * kDaemons; ++i) {
+      const bool is_replacement = i >= kDaemons;
+      const instant started = is_replacement ? kStart : kStart - seconds(60);
+      const instant now = kStart + seconds(is_replacement ? 5 : 0);
+      retry_budget budget(limits, started);
+      budget.SetFleet(kDaemons);
+      for (int call = 0; call < kCalls; ++call) budget.OnCall("ledger", now);
+      while (callers_first && budget.TakeRetry("ledger", false, now)) ++retries;
+      while (budget.TakeRetry("ledger", true, now)) ++retries;
+    }
+    CHECK(retries <= 0.2 * 2 * kDaemons * kCalls + 56);
+    CHECK(retries >= kDaemons * 3);
+  }
+}
+
 // dimasalang scale-1 seed 353710091171: a third of the runs make no calls, so
 // the share of repeats among all runs was less than half of their share among
 // those that do. The callee got 1,435 retries where 1,373 were allowed.
